--- /dev/null
+++ b/include/cactuscross/flow_agent.h
@@ -0,0 +1,67 @@
+#ifndef CACTUSCROSS_FLOW_AGENT_H_
+#define CACTUSCROSS_FLOW_AGENT_H_
+
+// The flow path's agent beside one backend server: a pure state machine, driven
+// by Tick(). Every packet to and from the server passes it.
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "cactuscross/flow_balancer.h"
+#include "cactuscross/flow_event.h"
+#include "cactuscross/flow_message.h"
+#include "cactuscross/flow_settings.h"
+#include "cactuscross/flow_types.h"
+#include "cactuscross/observation.h"
+
+namespace cactuscross {
+
+// Outcome of a connection attempt to the server.
+enum class ProbeResult : std::uint8_t {
+  kNone,      // none has ended since the last tick
+  kAccepted,  // the server's host took the connection
+  kRefused,   // nobody listens there
+  kSilent,    // no answer in time
+};
+
+struct FlowAgentInbox {
+  std::vector<FlowPacket> from_balancers;
+  std::vector<FlowPacket> from_server;
+  std::vector<FlowNotice> notices;  // kQuery
+  ProbeResult probe = ProbeResult::kNone;
+  bool stop_requested = false;
+};
+
+struct FlowAgentOutbox {
+  std::vector<FlowForward> to_server;
+  std::vector<FlowForward> to_clients;
+  std::vector<FlowReset> resets;
+  std::vector<OutgoingNotice> notices;
+  std::vector<FlowEvent> events;
+  bool probe = false;  // begin a connection attempt to the server
+  bool may_exit = false;
+};
+
+class FlowAgent {
+ public:
+  // `started_ms`: Unix time of this process' start, ms.
+  FlowAgent(const FlowAgentSettings& settings,
+            TimePoint now,
+            std::uint64_t started_ms);
+  ~FlowAgent();
+  FlowAgent(const FlowAgent&) = delete;
+  FlowAgent& operator=(const FlowAgent&) = delete;
+
+  FlowAgentOutbox Tick(TimePoint now, FlowAgentInbox inbox);
+
+  std::vector<MetricSample> Metrics() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace cactuscross
+
+#endif  // CACTUSCROSS_FLOW_AGENT_H_
--- a/src/cli/cli.cc
+++ b/src/cli/cli.cc
@@ -14,11 +14,12 @@
 
 namespace po = boost::program_options;
 
-constexpr std::size_t kNameColumn = 10;  // characters
+constexpr std::size_t kNameColumn = 15;  // characters
 
 constexpr std::array kCommands = {
-    &kBalancerCommand, &kAgentCommand, &kCheckCommand,   &kDumpCommand,
-    &kExplainCommand,  &kTopCommand,   &kVersionCommand,
+    &kBalancerCommand,  &kAgentCommand, &kFlowBalancerCommand,
+    &kFlowAgentCommand, &kCheckCommand, &kDumpCommand,
+    &kExplainCommand,   &kTopCommand,   &kVersionCommand,
 };
 
 void PrintProgramHelp(std::ostream& out) {
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -35,6 +35,8 @@
 // Each is defined beside its command.
 extern const Command kBalancerCommand;
 extern const Command kAgentCommand;
+extern const Command kFlowBalancerCommand;
+extern const Command kFlowAgentCommand;
 extern const Command kCheckCommand;
 extern const Command kDumpCommand;
 extern const Command kExplainCommand;
--- a/src/cli/role_commands.cc
+++ b/src/cli/role_commands.cc
@@ -1,6 +1,11 @@
+#include <cstdlib>
+
+#include "platform/adapter.h"
 #include "src/cli/command.h"
 #include "src/cli/file_reader.h"
 #include "src/config/settings_parser.h"
+#include "src/shell/flow/run_flow_agent.h"
+#include "src/shell/flow/run_flow_balancer.h"
 #include "src/shell/run_agent.h"
 #include "src/shell/run_balancer.h"
 
@@ -57,8 +62,71 @@
   return RunRole(values, streams, &ParseAgentSettings, &RunAgent);
 }
 
+constexpr char kFlowBalancerDescription[] =
+    "Runs a balancer of the flow path on the users' platform: forwards "
+    "packets\n"
+    "of flows, which it does not read, to the agents of backend servers. Logs\n"
+    "are JSON lines on standard output. Without --settings the path of the\n"
+    "settings is taken from the environment, as the platform gives it.";
+
+constexpr char kFlowAgentDescription[] =
+    "Runs the agent of one backend server on the users' platform: every "
+    "packet\n"
+    "to and from the server passes it. Logs are JSON lines on standard "
+    "output.\n"
+    "Without --settings the path of the settings is taken from the "
+    "environment,\n"
+    "as the platform gives it.";
+
+void AddFlowOptions(CommandOptions& options) {
+  auto* const settings = po::value<std::string>();
+  if (const char* path = std::getenv(platform::kSettingsVariable)) {
+    settings->default_value(path);
+  } else {
+    settings->required();
+  }
+  options.add_options()("settings", settings,
+                        "YAML file with the settings of this process");
+}
+
+int RunFlowBalancerWithAdapter(const FlowBalancerSettings& settings) {
+  return RunFlowBalancer(settings, platform::MakeAdapter());
+}
+
+int RunFlowAgentWithAdapter(const FlowAgentSettings& settings) {
+  return RunFlowAgent(settings, platform::MakeAdapter());
+}
+
+int RunFlowBalancerCommand(const CommandValues& values,
+                           const CliStreams& streams) {
+  return RunRole(values, streams, &ParseFlowBalancerSettings,
+                 &RunFlowBalancerWithAdapter);
+}
+
+int RunFlowAgentCommand(const CommandValues& values,
+                        const CliStreams& streams) {
+  return RunRole(values, streams, &ParseFlowAgentSettings,
+                 &RunFlowAgentWithAdapter);
+}
+
 }  // namespace
 
+const Command kFlowBalancerCommand = {"flow-balancer",
+                                      "",
+                                      0,
+                                      "run a balancer of the flow path",
+                                      kFlowBalancerDescription,
+                                      &AddFlowOptions,
+                                      &RunFlowBalancerCommand};
+
+const Command kFlowAgentCommand = {"flow-agent",
+                                   "",
+                                   0,
+                                   "run the agent of a server on the flow path",
+                                   kFlowAgentDescription,
+                                   &AddFlowOptions,
+                                   &RunFlowAgentCommand};
+
 const Command kBalancerCommand = {"balancer",
                                   "",
                                   0,
--- a/src/config/field_row.h
+++ b/src/config/field_row.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "cactuscross/contract.h"
+#include "cactuscross/flow_settings.h"
 #include "cactuscross/settings.h"
 
 namespace cactuscross {
@@ -23,6 +24,7 @@
 enum class TextRule : std::uint8_t {
   kName,      // lower-case letters, digits and '-'
   kFullName,  // two names joined by '/'
+  kText,      // any printable text
 };
 
 // Inclusive bounds of a number, of a text's length or of a list's length.
--- a/src/config/field_table.cc
+++ b/src/config/field_table.cc
@@ -83,6 +83,79 @@
         &AgentSettings::server},
 };
 
+constexpr std::array kFlowNodeRows = {
+    FieldRow<FlowNodeSettings>{
+        {"name", kRequired, Bounds{1, 200}, "characters",
+         "Name of this process in logs.", kRepeats, TextRule::kText},
+        &FlowNodeSettings::name},
+    FieldRow<FlowNodeSettings>{
+        {"zone", kRequired, Bounds{1, 200}, "characters",
+         "Availability zone of this host.", kRepeats, TextRule::kText},
+        &FlowNodeSettings::zone},
+    FieldRow<FlowNodeSettings>{
+        {"data", kRequired, kNoBounds, "", "UDP address for packets of flows.",
+         kOwnAddress},
+        &FlowNodeSettings::data},
+    FieldRow<FlowNodeSettings>{
+        {"peer", kRequired, kNoBounds, "",
+         "UDP address for notices; the port is the same on all hosts.",
+         kOwnAddress},
+        &FlowNodeSettings::peer},
+    FieldRow<FlowNodeSettings>{
+        {"readiness", kRequired, kNoBounds, "",
+         "HTTP address that tells readiness.", kOwnAddress},
+        &FlowNodeSettings::readiness},
+    FieldRow<FlowNodeSettings>{{"metrics_port", kOptional, Bounds{0, 65535}, "",
+                                "HTTP port of /metrics on this host; 0: none."},
+                               &FlowNodeSettings::metrics_port},
+    FieldRow<FlowNodeSettings>{
+        {"first_start", kOptional, kNoBounds, "",
+         "True where the whole system starts for the first time."},
+        &FlowNodeSettings::first_start},
+    FieldRow<FlowNodeSettings>{
+        {"flow_max_age_s", kOptional, Bounds{1, 86400}, "s",
+         "Longest life of a flow."},
+        &FlowNodeSettings::flow_max_age},
+    FieldRow<FlowNodeSettings>{{"stop_bound_s", kOptional, Bounds{0, 600}, "s",
+                                "Longest time of a graceful shutdown."},
+                               &FlowNodeSettings::stop_bound},
+};
+
+constexpr std::array kFlowBalancerRows = {
+    FieldRow<FlowBalancerSettings>{
+        {"store", kRequired, kNoBounds, "",
+         "HTTP address of the store of routes and servers.", kOwnAddress},
+        &FlowBalancerSettings::store},
+    FieldRow<FlowBalancerSettings>{
+        {"control", kOptional, kNoBounds, "",
+         "UDP address for other balancers.", kOwnAddress},
+        &FlowBalancerSettings::control},
+    FieldRow<FlowBalancerSettings>{
+        {"seeds", kOptional, Bounds{0, 64}, "entries",
+         "Control addresses of some balancers; the rest is learned from them."},
+        &FlowBalancerSettings::seeds},
+    FieldRow<FlowBalancerSettings>{
+        {"drain_bound_ms", kOptional, Bounds{100, 600000}, "ms",
+         "A leaving server gets no new flow later than this."},
+        &FlowBalancerSettings::drain_bound},
+};
+
+constexpr std::array kFlowAgentRows = {
+    FieldRow<FlowAgentSettings>{
+        {"service", kRequired, Bounds{1, 200}, "characters",
+         "Service of the backend server beside this agent.", kRepeats,
+         TextRule::kText},
+        &FlowAgentSettings::service},
+    FieldRow<FlowAgentSettings>{
+        {"server", kRequired, kNoBounds, "",
+         "UDP and TCP address of the backend server.", kOwnAddress},
+        &FlowAgentSettings::server},
+    FieldRow<FlowAgentSettings>{
+        {"outbound", kRequired, kNoBounds, "",
+         "UDP address that the backend server sends to.", kOwnAddress},
+        &FlowAgentSettings::outbound},
+};
+
 constexpr std::array kSeedRows = {
     FieldRow<PeerAddress>{{"node", kRequired, kNodeNumber, "",
                            "Number of the process.", kSeedNode},
@@ -207,6 +280,21 @@
   return kAgentRows;
 }
 
+template <>
+gsl::span<const FieldRow<FlowNodeSettings>> Rows() {
+  return kFlowNodeRows;
+}
+
+template <>
+gsl::span<const FieldRow<FlowBalancerSettings>> Rows() {
+  return kFlowBalancerRows;
+}
+
+template <>
+gsl::span<const FieldRow<FlowAgentSettings>> Rows() {
+  return kFlowAgentRows;
+}
+
 template <>
 gsl::span<const FieldRow<PeerAddress>> Rows() {
   return kSeedRows;
--- a/src/config/field_table.h
+++ b/src/config/field_table.h
@@ -20,6 +20,12 @@
 template <>
 gsl::span<const FieldRow<AgentSettings>> Rows();
 template <>
+gsl::span<const FieldRow<FlowNodeSettings>> Rows();
+template <>
+gsl::span<const FieldRow<FlowBalancerSettings>> Rows();
+template <>
+gsl::span<const FieldRow<FlowAgentSettings>> Rows();
+template <>
 gsl::span<const FieldRow<PeerAddress>> Rows();
 template <>
 gsl::span<const FieldRow<Contract>> Rows();
--- a/src/config/field_type.cc
+++ b/src/config/field_type.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <optional>
 
 #include <gsl/span>
@@ -106,7 +107,7 @@
   return "";
 }
 
-std::uint64_t UnitMicroseconds(std::string_view unit) {
+double UnitMicroseconds(std::string_view unit) {
   return unit == "s" ? 1000000 : 1000;
 }
 
@@ -120,7 +121,8 @@
       TextRuleRow{&IsName, "lower-case letters, digits and '-' only"},
       TextRuleRow{&IsFullName,
                   "\"customer/service\", each of lower-case letters, digits "
-                  "and '-'"}};
+                  "and '-'"},
+      TextRuleRow{&IsPrintable, "printable text"}};
   return kTextRules.at(static_cast<std::size_t>(rule));
 }
 
@@ -205,8 +207,23 @@
                const FieldInfo& info,
                const YAML::Node& node,
                Duration& value) {
-  if (const auto number = ReadNumber(report, info, node)) {
-    value = Duration(*number * UnitMicroseconds(info.unit));
+  const std::string wanted = "a number of " + std::string(info.unit) +
+                             " from " + BoundsText(info.bounds);
+  const auto text = ReadScalar(report, info, node, wanted);
+  if (!text) {
+    return;
+  }
+  const auto number = ParseDecimal(*text);
+  if (!number) {
+    report.Add(
+        ResultCode::kWrongType, node,
+        Prefix(info) + QuoteText(*text) + " is no number; write " + wanted);
+  } else if (*number < static_cast<double>(info.bounds.least) ||
+             *number > static_cast<double>(info.bounds.most)) {
+    report.Add(ResultCode::kOutOfBounds, node,
+               Prefix(info) + *text + " is out of bounds; write " + wanted);
+  } else {
+    value = Duration(std::llround(*number * UnitMicroseconds(info.unit)));
   }
 }
 
--- a/src/config/settings_parser.cc
+++ b/src/config/settings_parser.cc
@@ -16,9 +16,9 @@
 }
 
 template <typename Settings>
-tl::expected<Settings, std::vector<Error>> ParseSettings(std::string_view text,
-                                                         std::string_view file,
-                                                         Role role) {
+tl::expected<Settings, std::vector<Error>> ParseSettings(
+    std::string_view text,
+    std::string_view file) {
   const auto root = LoadYaml(text);
   if (!root) {
     return tl::unexpected(WithFile({root.error()}, file));
@@ -29,7 +29,16 @@
   if (report.HasErrors()) {
     return tl::unexpected(WithFile(report.TakeErrors(), file));
   }
-  settings.node.role = role;
+  return settings;
+}
+
+template <typename Settings>
+tl::expected<Settings, std::vector<Error>>
+ParseRoleSettings(std::string_view text, std::string_view file, Role role) {
+  auto settings = ParseSettings<Settings>(text, file);
+  if (settings) {
+    settings->node.role = role;
+  }
   return settings;
 }
 
@@ -38,13 +47,24 @@
 tl::expected<BalancerSettings, std::vector<Error>> ParseBalancerSettings(
     std::string_view text,
     std::string_view file) {
-  return ParseSettings<BalancerSettings>(text, file, Role::kBalancer);
+  return ParseRoleSettings<BalancerSettings>(text, file, Role::kBalancer);
 }
 
 tl::expected<AgentSettings, std::vector<Error>> ParseAgentSettings(
     std::string_view text,
     std::string_view file) {
-  return ParseSettings<AgentSettings>(text, file, Role::kAgent);
+  return ParseRoleSettings<AgentSettings>(text, file, Role::kAgent);
+}
+
+tl::expected<FlowBalancerSettings, std::vector<Error>>
+ParseFlowBalancerSettings(std::string_view text, std::string_view file) {
+  return ParseSettings<FlowBalancerSettings>(text, file);
+}
+
+tl::expected<FlowAgentSettings, std::vector<Error>> ParseFlowAgentSettings(
+    std::string_view text,
+    std::string_view file) {
+  return ParseSettings<FlowAgentSettings>(text, file);
 }
 
 }  // namespace cactuscross
--- a/src/config/settings_parser.h
+++ b/src/config/settings_parser.h
@@ -8,6 +8,7 @@
 
 #include <tl/expected.hpp>
 
+#include "cactuscross/flow_settings.h"
 #include "cactuscross/result_code.h"
 #include "cactuscross/settings.h"
 
@@ -22,6 +23,12 @@
     std::string_view text,
     std::string_view file);
 
+tl::expected<FlowBalancerSettings, std::vector<Error>>
+ParseFlowBalancerSettings(std::string_view text, std::string_view file);
+tl::expected<FlowAgentSettings, std::vector<Error>> ParseFlowAgentSettings(
+    std::string_view text,
+    std::string_view file);
+
 }  // namespace cactuscross
 
 #endif  // CACTUSCROSS_SRC_CONFIG_SETTINGS_PARSER_H_
--- a/src/config/value_parser.cc
+++ b/src/config/value_parser.cc
@@ -1,6 +1,7 @@
 #include "src/config/value_parser.h"
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <numeric>
 #include <vector>
@@ -45,6 +46,17 @@
   return number;
 }
 
+std::optional<double> ParseDecimal(std::string_view text) {
+  double number = 0;
+  const char* end = text.data() + text.size();
+  const auto result =
+      std::from_chars(text.data(), end, number, std::chars_format::fixed);
+  if (result.ec != std::errc() || result.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
 std::optional<std::uint32_t> ParseIpv4(std::string_view text) {
   std::uint32_t address = 0;
   for (int part = 0; part < 4; ++part) {
@@ -87,6 +99,12 @@
          IsName(text.substr(slash + 1));
 }
 
+bool IsPrintable(std::string_view text) {
+  return std::none_of(text.begin(), text.end(), [](char letter) {
+    return std::iscntrl(static_cast<unsigned char>(letter)) != 0;
+  });
+}
+
 std::string QuoteText(std::string_view text) {
   std::string quoted = "'";
   for (const char character : text.substr(0, kMostQuotedText)) {
--- a/src/config/value_parser.h
+++ b/src/config/value_parser.h
@@ -30,6 +30,12 @@
 // Returns true for two names joined by '/'.
 bool IsFullName(std::string_view text);
 
+// Parses a decimal number such as "6" or "2.5".
+std::optional<double> ParseDecimal(std::string_view text);
+
+// True if `text` holds no control characters.
+bool IsPrintable(std::string_view text);
+
 // Quotes text of a file for a message: shortened, control characters replaced.
 std::string QuoteText(std::string_view text);
 
--- /dev/null
+++ b/src/core/flow/flow_agent.cc
@@ -0,0 +1,378 @@
+#include "cactuscross/flow_agent.h"
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+#include "src/core/common/metric_set.h"
+#include "src/core/flow/server_flows.h"
+#include "src/core/flow/server_watch.h"
+
+namespace cactuscross {
+namespace {
+
+// Balancers that are told of the load.
+constexpr std::size_t kMaxBalancers = 256;
+// A balancer that sent nothing for so long is told no more.
+constexpr Duration kBalancerLife{3000000};
+
+// Least pause between two notices of a changed load, and longest without one.
+constexpr Duration kLoadInterval{100000};
+constexpr Duration kLoadRefresh{500000};
+
+// A server that started at most so long before its agent has no flows from
+// before the agent's start: both start together, by clocks that may differ.
+constexpr std::uint64_t kSameStartMs = 3000;
+
+// Flows that the server has disowned lately are not offered to it again.
+constexpr std::size_t kMaxDisowned = 4096;
+constexpr Duration kDisownedLife{5000000};
+
+}  // namespace
+
+class FlowAgent::Impl {
+ public:
+  Impl(const FlowAgentSettings& settings,
+       TimePoint now,
+       std::uint64_t started_ms)
+      : settings(settings),
+        service(MakeServiceId(settings.service)),
+        started_ms(started_ms),
+        complete(settings.node.first_start),
+        now(now) {}
+
+  FlowAgentOutbox Tick(TimePoint now, FlowAgentInbox inbox);
+  std::vector<MetricSample> Metrics() const;
+
+ private:
+  // The systems of a tick, in their order.
+  void ReadQueries(const std::vector<FlowNotice>& notices);
+  void ReadFromServer(const std::vector<FlowPacket>& packets);
+  void ReadFromBalancers(const std::vector<FlowPacket>& packets);
+  void WatchServer(ProbeResult probe);
+  void TellLoad();
+
+  void OnReturned(const FlowPacket& packet);
+  void OnOpening(const FlowPacket& packet);
+  void OnOther(const FlowPacket& packet);
+  void OnUnknown(const FlowPacket& packet);
+
+  void SendToServer(const FlowPacket& packet);
+  void Notify(std::uint32_t balancer,
+              NoticeKind kind,
+              const FlowPacket& packet,
+              bool with_packet);
+  OutgoingNotice MakeNotice(std::uint32_t balancer, NoticeKind kind) const;
+  ServerLoad Load() const;
+  void NoteBalancer(std::uint32_t balancer);
+  FlowEvent& Report(FlowEventKind kind);
+
+  const FlowAgentSettings settings;
+  const ServiceId service;
+  const std::uint64_t started_ms;
+  ServerFlows flows;
+  ServerWatch watch;
+  // True if `flows` holds every flow of the server.
+  bool complete;
+  std::unordered_map<FlowKey, TimePoint, FlowKeyHash> disowned;
+  std::unordered_map<std::uint32_t, TimePoint> balancers;  // last heard
+  ServerLoad told;
+  TimePoint told_at;
+  MetricSet metrics;
+  TimePoint now;
+  FlowAgentOutbox outbox;
+};
+
+FlowAgentOutbox FlowAgent::Impl::Tick(TimePoint now, FlowAgentInbox inbox) {
+  this->now = now;
+  this->outbox = FlowAgentOutbox();
+  this->ReadQueries(inbox.notices);
+  // Before the packets of clients, which may belong to flows granted here.
+  this->ReadFromServer(inbox.from_server);
+  this->ReadFromBalancers(inbox.from_balancers);
+  this->WatchServer(inbox.probe);
+  this->flows.Expire(now);
+  if (inbox.stop_requested) {
+    FlowEvent& event = this->Report(FlowEventKind::kStopping);
+    event.tries = this->flows.Open();
+    this->outbox.may_exit = true;
+  }
+  this->TellLoad();
+  for (const FlowEvent& event : this->outbox.events) {
+    this->metrics.Count("flow_events", "event", NameOf(event.kind));
+  }
+  return std::move(this->outbox);
+}
+
+void FlowAgent::Impl::ReadQueries(const std::vector<FlowNotice>& notices) {
+  for (const FlowNotice& notice : notices) {
+    if (notice.kind != NoticeKind::kQuery) {
+      continue;
+    }
+    this->NoteBalancer(notice.sender);
+    if (notice.service_tag != ServiceTag(this->service)) {
+      continue;
+    }
+    if (notice.started_ms + kSameStartMs >= this->started_ms &&
+        notice.started_ms != 0 && !this->flows.HasForgotten()) {
+      this->complete = true;
+    }
+    this->outbox.notices.push_back(
+        this->MakeNotice(notice.sender, NoticeKind::kLoad));
+  }
+}
+
+void FlowAgent::Impl::ReadFromServer(const std::vector<FlowPacket>& packets) {
+  if (!packets.empty()) {
+    this->watch.NoteHeard(this->now);
+  }
+  for (const FlowPacket& packet : packets) {
+    if (packet.returned) {
+      this->OnReturned(packet);
+      continue;
+    }
+    ServerFlow* flow = this->flows.Find(packet.flow);
+    if (flow == nullptr) {
+      flow = &this->flows.Add(this->now, packet.flow);
+    }
+    const bool was_asked = flow->state == ServerFlowState::kAsked;
+    this->flows.NoteFromServer(this->now, *flow, packet);
+    if (was_asked && packet.opening) {
+      FlowEvent& event = this->Report(FlowEventKind::kAccepted);
+      event.flow = packet.flow;
+      event.running = this->flows.Running();
+      if (flow->balancer != 0) {
+        this->Notify(flow->balancer, NoticeKind::kAccepted, packet, false);
+      }
+    }
+    FlowForward forward;
+    forward.destination = {packet.flow.client.address,
+                           this->settings.node.data.port};
+    forward.bytes.assign(packet.bytes.begin(), packet.bytes.end());
+    this->outbox.to_clients.push_back(std::move(forward));
+  }
+}
+
+void FlowAgent::Impl::OnReturned(const FlowPacket& packet) {
+  const ServerFlow* flow = this->flows.Find(packet.flow);
+  if (packet.opening) {
+    FlowEvent& event = this->Report(FlowEventKind::kRefused);
+    event.flow = packet.flow;
+    event.reason = "server_returned_opening";
+    event.running = this->flows.Running();
+    if (flow != nullptr && flow->state == ServerFlowState::kAsked) {
+      this->flows.Erase(packet.flow);
+    }
+    this->Notify(packet.mark.balancer, NoticeKind::kRefused, packet, false);
+    return;
+  }
+  if (this->disowned.size() < kMaxDisowned) {
+    this->disowned[packet.flow] = this->now;
+  }
+  const bool was_open =
+      flow != nullptr && (flow->state == ServerFlowState::kOpen ||
+                          flow->state == ServerFlowState::kClosing);
+  if (was_open) {
+    // Only its own server can say so: the flow is over.
+    FlowEvent& event = this->Report(FlowEventKind::kDisowned);
+    event.flow = packet.flow;
+    event.age = this->now - flow->used_at;
+    this->outbox.resets.push_back({packet.flow, packet.acknowledgement});
+    this->flows.Erase(packet.flow);
+    return;
+  }
+  this->Notify(packet.mark.balancer, NoticeKind::kNotHeld, packet, true);
+}
+
+void FlowAgent::Impl::ReadFromBalancers(
+    const std::vector<FlowPacket>& packets) {
+  for (const FlowPacket& packet : packets) {
+    this->NoteBalancer(packet.sender);
+    if (packet.mark.service_tag != ServiceTag(this->service)) {
+      this->metrics.Count("flow_packets_dropped", "reason", "wrong_service");
+      this->Notify(packet.sender, NoticeKind::kWrongService, packet, true);
+    } else if (packet.opening) {
+      this->OnOpening(packet);
+    } else {
+      this->OnOther(packet);
+    }
+  }
+}
+
+void FlowAgent::Impl::OnOpening(const FlowPacket& packet) {
+  if (this->watch.IsDown()) {
+    this->Notify(packet.sender, NoticeKind::kRefused, packet, false);
+    return;
+  }
+  ServerFlow* flow = this->flows.Find(packet.flow);
+  if (flow == nullptr) {
+    flow = &this->flows.Add(this->now, packet.flow);
+  }
+  flow->balancer = packet.sender;
+  this->flows.NoteFromClient(this->now, *flow, packet);
+  this->SendToServer(packet);
+}
+
+void FlowAgent::Impl::OnOther(const FlowPacket& packet) {
+  ServerFlow* flow = this->flows.Find(packet.flow);
+  if (flow == nullptr) {
+    this->OnUnknown(packet);
+    return;
+  }
+  if (!BelongsTo(*flow, packet)) {
+    this->Notify(packet.sender, NoticeKind::kNotHeld, packet, true);
+    return;
+  }
+  this->flows.NoteFromClient(this->now, *flow, packet);
+  if (packet.mark.purpose == MarkPurpose::kSearch) {
+    this->Notify(packet.sender, NoticeKind::kHeld, packet, false);
+  }
+  this->SendToServer(packet);
+}
+
+void FlowAgent::Impl::OnUnknown(const FlowPacket& packet) {
+  const auto disowned = this->disowned.find(packet.flow);
+  const bool lately = disowned != this->disowned.end() &&
+                      this->now - disowned->second < kDisownedLife;
+  if (this->complete || lately) {
+    this->Notify(packet.sender, NoticeKind::kNotHeld, packet, true);
+    return;
+  }
+  // This process does not know all flows of its server: the server decides. It
+  // returns the packet, or answers it and so shows that it holds the flow.
+  this->SendToServer(packet);
+}
+
+void FlowAgent::Impl::SendToServer(const FlowPacket& packet) {
+  if (packet.opening || packet.data_bytes > 0) {
+    this->watch.NoteSent(this->now);
+  }
+  FlowForward forward;
+  forward.destination = this->settings.server;
+  forward.mark.balancer = packet.sender;
+  forward.bytes.assign(packet.bytes.begin(), packet.bytes.end());
+  this->outbox.to_server.push_back(std::move(forward));
+}
+
+void FlowAgent::Impl::WatchServer(ProbeResult probe) {
+  const bool was_down = this->watch.IsDown();
+  this->watch.NoteProbe(this->now, probe);
+  if (was_down != this->watch.IsDown()) {
+    FlowEvent& event = this->Report(was_down ? FlowEventKind::kServerUp
+                                             : FlowEventKind::kServerDown);
+    event.reason = probe == ProbeResult::kRefused  ? "probe_refused"
+                   : probe == ProbeResult::kSilent ? "probe_silent"
+                                                   : "probe_accepted";
+    event.age = this->watch.SilentFor(this->now);
+  }
+  if (this->watch.TakeLost()) {
+    for (FlowReset& reset : this->flows.ResetsOfOpenFlows()) {
+      FlowEvent& event = this->Report(FlowEventKind::kLost);
+      event.flow = reset.flow;
+      event.reason = "server_down";
+      this->outbox.resets.push_back(std::move(reset));
+    }
+    this->flows.Clear();
+  }
+  this->outbox.probe = this->watch.TakeProbe(this->now);
+  for (auto entry = this->disowned.begin(); entry != this->disowned.end();) {
+    entry = this->now - entry->second > kDisownedLife
+                ? this->disowned.erase(entry)
+                : std::next(entry);
+  }
+}
+
+ServerLoad FlowAgent::Impl::Load() const {
+  ServerLoad load;
+  load.running = this->flows.Running();
+  load.open_flows = this->flows.Open();
+  load.down = this->watch.IsDown() || this->outbox.may_exit;
+  return load;
+}
+
+void FlowAgent::Impl::TellLoad() {
+  const ServerLoad load = this->Load();
+  const bool changed = load.running != this->told.running ||
+                       load.open_flows != this->told.open_flows;
+  const Duration since = this->now - this->told_at;
+  if (load.down == this->told.down && since < kLoadRefresh &&
+      (!changed || since < kLoadInterval)) {
+    return;
+  }
+  this->told = load;
+  this->told_at = this->now;
+  for (auto entry = this->balancers.begin(); entry != this->balancers.end();) {
+    if (this->now - entry->second > kBalancerLife) {
+      entry = this->balancers.erase(entry);
+      continue;
+    }
+    this->outbox.notices.push_back(
+        this->MakeNotice(entry->first, NoticeKind::kLoad));
+    ++entry;
+  }
+}
+
+OutgoingNotice FlowAgent::Impl::MakeNotice(std::uint32_t balancer,
+                                           NoticeKind kind) const {
+  OutgoingNotice outgoing;
+  outgoing.host = balancer;
+  outgoing.notice.kind = kind;
+  outgoing.notice.service_tag = ServiceTag(this->service);
+  outgoing.notice.load = this->Load();
+  return outgoing;
+}
+
+void FlowAgent::Impl::Notify(std::uint32_t balancer,
+                             NoticeKind kind,
+                             const FlowPacket& packet,
+                             bool with_packet) {
+  OutgoingNotice outgoing = this->MakeNotice(balancer, kind);
+  outgoing.notice.flow = packet.flow;
+  if (with_packet) {
+    outgoing.notice.packet.assign(packet.bytes.begin(), packet.bytes.end());
+    outgoing.notice.acknowledgement = packet.acknowledgement;
+  }
+  this->outbox.notices.push_back(std::move(outgoing));
+}
+
+void FlowAgent::Impl::NoteBalancer(std::uint32_t balancer) {
+  if (this->balancers.size() < kMaxBalancers ||
+      this->balancers.count(balancer) > 0) {
+    this->balancers[balancer] = this->now;
+  }
+}
+
+FlowEvent& FlowAgent::Impl::Report(FlowEventKind kind) {
+  FlowEvent& event = this->outbox.events.emplace_back();
+  event.kind = kind;
+  return event;
+}
+
+std::vector<MetricSample> FlowAgent::Impl::Metrics() const {
+  std::vector<MetricSample> samples;
+  this->metrics.AppendTo(samples);
+  samples.push_back({"flow_table_entries", MetricKind::kGauge, "",
+                     static_cast<double>(this->flows.Size())});
+  samples.push_back({"flow_running", MetricKind::kGauge, "",
+                     static_cast<double>(this->flows.Running())});
+  samples.push_back({"flow_server_down", MetricKind::kGauge, "",
+                     this->watch.IsDown() ? 1.0 : 0.0});
+  return samples;
+}
+
+FlowAgent::FlowAgent(const FlowAgentSettings& settings,
+                     TimePoint now,
+                     std::uint64_t started_ms)
+    : impl(std::make_unique<Impl>(settings, now, started_ms)) {}
+
+FlowAgent::~FlowAgent() = default;
+
+FlowAgentOutbox FlowAgent::Tick(TimePoint now, FlowAgentInbox inbox) {
+  return this->impl->Tick(now, std::move(inbox));
+}
+
+std::vector<MetricSample> FlowAgent::Metrics() const {
+  return this->impl->Metrics();
+}
+
+}  // namespace cactuscross
--- /dev/null
+++ b/src/core/flow/flow_balancer.cc
@@ -0,0 +1,510 @@
+#include "cactuscross/flow_balancer.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "src/core/common/metric_set.h"
+#include "src/core/flow/flow_cache.h"
+#include "src/core/flow/opening_table.h"
+#include "src/core/flow/placement.h"
+#include "src/core/flow/search_table.h"
+#include "src/core/flow/store_view.h"
+
+namespace cactuscross {
+namespace {
+
+// Servers that an opening is offered to, one after the other; with the
+// patience for each this fits the 1.4 s after which a client gives up.
+constexpr std::size_t kMaxTries = 6;
+
+// An agent that was silent for so long is asked for its load; agents tell it by
+// themselves to balancers that they have heard within seconds.
+constexpr Duration kQueryInterval{1000000};
+// Queries in one tick: bounds what a large fleet costs.
+constexpr std::size_t kMaxQueriesPerTick = 64;
+
+// Routers notice after two misses, half a second apart, that a process has
+// stopped taking traffic; it goes on forwarding meanwhile.
+constexpr Duration kStopLinger{2500000};
+
+}  // namespace
+
+class FlowBalancer::Impl {
+ public:
+  Impl(const FlowBalancerSettings& settings, std::uint64_t seed)
+      : settings(settings), view(seed) {}
+
+  FlowBalancerOutbox Tick(TimePoint now, FlowBalancerInbox inbox);
+  std::vector<MetricSample> Metrics() const;
+
+ private:
+  // The systems of a tick, in their order.
+  void ReadNotices(const std::vector<FlowNotice>& notices);
+  void ReadPackets(const std::vector<FlowPacket>& packets);
+  void ContinueOpenings();
+  void ContinueSearches();
+  void QueryAgents();
+  void UpdateReadiness(bool stop_requested);
+
+  void OnNotice(const FlowNotice& notice);
+  void OnAccepted(const FlowNotice& notice, ServerKey server);
+  void OnRefused(const FlowNotice& notice, ServerKey server);
+  void OnHeld(const FlowNotice& notice, ServerKey server);
+  void OnNotHeld(const FlowNotice& notice, ServerKey server);
+
+  void OnNoRoute(const FlowPacket& packet);
+  void OnOpening(const FlowPacket& packet,
+                 const std::vector<ServiceShare>& shares);
+  void OnOther(const FlowPacket& packet,
+               const std::vector<ServiceShare>& shares);
+
+  // Sends the opening to the next server, or resets the client if none is left.
+  void AskNextServer(Opening& opening, std::string_view reason);
+  void RefuseOpening(const Opening& opening, std::string_view reason);
+
+  void BeginSearch(const FlowKey& flow,
+                   const std::vector<ServiceShare>& shares,
+                   ByteView packet,
+                   std::uint32_t acknowledgement);
+  void AskNextStep(FlowSearch& search);
+  // All servers were asked; `all_answered`: each said that it holds no such
+  // flow.
+  void EndSearch(FlowSearch& search, bool all_answered);
+
+  void Forward(const ServerEntry& entry, MarkPurpose purpose, Bytes bytes);
+  void Reset(const FlowKey& flow, std::uint32_t sequence);
+  FlowEvent& Report(FlowEventKind kind, const FlowKey& flow);
+  std::string NameOfServer(ServerKey key);
+
+  const FlowBalancerSettings settings;
+  StoreView view;
+  FlowCache cache;
+  OpeningTable openings;
+  SearchTable searches;
+  MetricSet metrics;
+  bool ready = false;
+  bool stopping = false;
+  TimePoint stop_at;
+  TimePoint now;
+  FlowBalancerOutbox outbox;
+};
+
+FlowBalancerOutbox FlowBalancer::Impl::Tick(TimePoint now,
+                                            FlowBalancerInbox inbox) {
+  this->now = now;
+  this->outbox = FlowBalancerOutbox();
+  // First, since all later decisions use the view.
+  this->view.Tick(now, inbox.store_answers, this->outbox);
+  // Before packets, which then go by the newest loads and placements.
+  this->ReadNotices(inbox.notices);
+  this->ReadPackets(inbox.packets);
+  this->ContinueOpenings();
+  this->ContinueSearches();
+  this->QueryAgents();
+  this->UpdateReadiness(inbox.stop_requested);
+  this->cache.Expire(now);
+  for (const FlowEvent& event : this->outbox.events) {
+    this->metrics.Count("flow_events", "event", NameOf(event.kind));
+  }
+  return std::move(this->outbox);
+}
+
+void FlowBalancer::Impl::ReadNotices(const std::vector<FlowNotice>& notices) {
+  for (const FlowNotice& notice : notices) {
+    this->OnNotice(notice);
+  }
+}
+
+void FlowBalancer::Impl::OnNotice(const FlowNotice& notice) {
+  ServerTable& servers = this->view.Servers();
+  if (notice.kind == NoticeKind::kWrongService) {
+    // The host serves another service than the view says: the view is behind.
+    for (auto& [key, entry] : servers.All()) {
+      if (entry.server.host == notice.sender) {
+        this->OnRefused(notice, key);
+        this->OnNotHeld(notice, key);
+      }
+    }
+    return;
+  }
+  servers.NoteNotice(this->now, notice, this->outbox.events);
+  const ServerEntry* entry =
+      servers.FindByHost(notice.sender, notice.service_tag);
+  if (entry == nullptr) {
+    return;
+  }
+  switch (notice.kind) {
+    case NoticeKind::kAccepted:
+      this->OnAccepted(notice, entry->key);
+      break;
+    case NoticeKind::kRefused:
+      this->OnRefused(notice, entry->key);
+      break;
+    case NoticeKind::kHeld:
+      this->OnHeld(notice, entry->key);
+      break;
+    case NoticeKind::kNotHeld:
+      this->OnNotHeld(notice, entry->key);
+      break;
+    default:
+      break;
+  }
+}
+
+void FlowBalancer::Impl::OnAccepted(const FlowNotice& notice,
+                                    ServerKey server) {
+  const Opening* opening = this->openings.Find(notice.flow);
+  if (opening == nullptr) {
+    // A second server granted the same opening; the first one's answer was
+    // probably sooner at the client.
+    if (this->cache.Use(this->now, notice.flow, false) == kNoServer) {
+      this->cache.Put(this->now, notice.flow, server);
+    }
+    return;
+  }
+  FlowEvent& event = this->Report(FlowEventKind::kAccepted, notice.flow);
+  event.server = this->NameOfServer(server);
+  event.tries = static_cast<std::uint32_t>(opening->tried.size());
+  event.age = this->now - opening->began_at;
+  this->metrics.Observe("flow_opening_ms", event.age->count() / 1000.0);
+  this->cache.Put(this->now, notice.flow, server);
+  this->openings.Erase(notice.flow);
+}
+
+void FlowBalancer::Impl::OnRefused(const FlowNotice& notice, ServerKey server) {
+  Opening* opening = this->openings.Find(notice.flow);
+  if (opening != nullptr && opening->tried.back() == server) {
+    this->AskNextServer(*opening, notice.kind == NoticeKind::kWrongService
+                                      ? "wrong_service"
+                                      : "server_refused");
+  }
+}
+
+void FlowBalancer::Impl::OnHeld(const FlowNotice& notice, ServerKey server) {
+  this->cache.Put(this->now, notice.flow, server);
+  FlowSearch* search = this->searches.Find(notice.flow);
+  if (search == nullptr) {
+    return;
+  }
+  FlowEvent& event = this->Report(FlowEventKind::kFound, notice.flow);
+  event.server = this->NameOfServer(server);
+  event.tries = static_cast<std::uint32_t>(search->asked);
+  event.age = this->now - search->began_at;
+  // The first packet was sent by the search itself.
+  const ServerEntry* entry = this->view.Servers().Find(server);
+  for (std::size_t i = 1; entry != nullptr && i < search->packets.size(); ++i) {
+    this->Forward(*entry, MarkPurpose::kKnown, std::move(search->packets[i]));
+  }
+  this->searches.Erase(notice.flow);
+}
+
+void FlowBalancer::Impl::OnNotHeld(const FlowNotice& notice, ServerKey server) {
+  FlowSearch* search = this->searches.Find(notice.flow);
+  if (search != nullptr) {
+    NoteNotHeld(*search, server);
+    if (search->AllAnswered()) {
+      if (search->AllAsked()) {
+        this->EndSearch(*search, true);
+      } else {
+        this->AskNextStep(*search);
+      }
+    }
+    return;
+  }
+  // The cache was wrong, or the server has lost the flow.
+  if (this->cache.Use(this->now, notice.flow, false) != server) {
+    return;
+  }
+  this->cache.Erase(notice.flow);
+  const auto* shares = this->view.Routes().Find(notice.flow.service_address);
+  if (shares != nullptr && !notice.packet.empty()) {
+    this->BeginSearch(notice.flow, *shares, notice.packet,
+                      notice.acknowledgement);
+  }
+}
+
+void FlowBalancer::Impl::ReadPackets(const std::vector<FlowPacket>& packets) {
+  this->metrics.Count("flow_packets", "", "", packets.size());
+  for (const FlowPacket& packet : packets) {
+    const auto* shares = this->view.Routes().Find(packet.flow.service_address);
+    if (shares == nullptr) {
+      this->OnNoRoute(packet);
+    } else if (packet.opening) {
+      this->OnOpening(packet, *shares);
+    } else {
+      this->OnOther(packet, *shares);
+    }
+  }
+}
+
+void FlowBalancer::Impl::OnNoRoute(const FlowPacket& packet) {
+  // Without a current view a route may be there all the same: say nothing.
+  if (!this->view.IsLoaded() || !this->view.IsReachable() || packet.reset) {
+    this->metrics.Count("flow_packets_dropped", "reason", "no_view");
+    return;
+  }
+  FlowEvent& event = this->Report(FlowEventKind::kNoRoute, packet.flow);
+  event.version = this->view.Routes().Version();
+  this->cache.Erase(packet.flow);
+  this->Reset(packet.flow, packet.acknowledgement);
+}
+
+void FlowBalancer::Impl::OnOpening(const FlowPacket& packet,
+                                   const std::vector<ServiceShare>& shares) {
+  if (Opening* opening = this->openings.Find(packet.flow)) {
+    // The client repeats it: the datagram to or from the server may be lost.
+    const ServerEntry* entry = this->view.Servers().Find(opening->tried.back());
+    if (entry != nullptr) {
+      this->Forward(*entry, MarkPurpose::kOpening, opening->packet);
+    }
+    return;
+  }
+  const ServerKey holder = this->cache.Use(this->now, packet.flow, false);
+  const ServerEntry* entry = this->view.Servers().Find(holder);
+  if (entry != nullptr && !entry->load.down && !entry->doubted) {
+    this->Forward(*entry, MarkPurpose::kOpening,
+                  Bytes(packet.bytes.begin(), packet.bytes.end()));
+    return;
+  }
+  Opening* opening = this->openings.Add(packet.flow);
+  if (opening == nullptr) {
+    this->metrics.Count("flow_packets_dropped", "reason", "openings_full");
+    return;
+  }
+  opening->service = ChooseService(packet.flow, shares);
+  opening->packet.assign(packet.bytes.begin(), packet.bytes.end());
+  opening->began_at = this->now;
+  this->AskNextServer(*opening, "new_flow");
+}
+
+void FlowBalancer::Impl::AskNextServer(Opening& opening,
+                                       std::string_view reason) {
+  ServerTable& servers = this->view.Servers();
+  const ServerKey key =
+      opening.tried.size() >= kMaxTries
+          ? kNoServer
+          : PlaceFlow(this->now, servers, opening.service, opening.flow,
+                      this->settings.node.zone, opening.tried);
+  if (key == kNoServer) {
+    this->RefuseOpening(opening, reason);
+    return;
+  }
+  ServerEntry& entry = *servers.Find(key);
+  FlowEvent& event = this->Report(
+      opening.tried.empty() ? FlowEventKind::kPlaced : FlowEventKind::kReplaced,
+      opening.flow);
+  event.server = entry.server.name;
+  event.reason = reason;
+  event.version = this->view.Routes().Version();
+  event.running = entry.load.running;
+  event.tries = static_cast<std::uint32_t>(opening.tried.size());
+  if (entry.heard) {
+    event.age = this->now - entry.heard_at;
+  }
+  ServerTable::NotePlaced(entry);
+  opening.tried.push_back(key);
+  opening.asked_at = this->now;
+  this->Forward(entry, MarkPurpose::kOpening, opening.packet);
+}
+
+void FlowBalancer::Impl::RefuseOpening(const Opening& opening,
+                                       std::string_view reason) {
+  const FlowKey flow = opening.flow;
+  FlowEvent& event = this->Report(FlowEventKind::kRefused, flow);
+  event.reason = opening.tried.empty() ? "no_server" : reason;
+  event.tries = static_cast<std::uint32_t>(opening.tried.size());
+  event.age = this->now - opening.began_at;
+  this->Reset(flow, 0);
+  this->openings.Erase(flow);
+}
+
+void FlowBalancer::Impl::OnOther(const FlowPacket& packet,
+                                 const std::vector<ServiceShare>& shares) {
+  if (FlowSearch* search = this->searches.Find(packet.flow)) {
+    KeepPacket(*search, packet.bytes);
+    search->last_acknowledgement = packet.acknowledgement;
+    return;
+  }
+  const ServerKey holder =
+      this->cache.Use(this->now, packet.flow, packet.closing || packet.reset);
+  if (const ServerEntry* entry = this->view.Servers().Find(holder)) {
+    this->Forward(*entry, MarkPurpose::kKnown,
+                  Bytes(packet.bytes.begin(), packet.bytes.end()));
+    return;
+  }
+  this->BeginSearch(packet.flow, shares, packet.bytes, packet.acknowledgement);
+}
+
+void FlowBalancer::Impl::BeginSearch(const FlowKey& flow,
+                                     const std::vector<ServiceShare>& shares,
+                                     ByteView packet,
+                                     std::uint32_t acknowledgement) {
+  FlowSearch* search = this->searches.Add(flow);
+  if (search == nullptr) {
+    this->metrics.Count("flow_packets_dropped", "reason", "searches_full");
+    return;
+  }
+  for (const ServiceShare& share : shares) {
+    const std::vector<ServerKey> order =
+        OrderServers(this->view.Servers(), share.service, flow);
+    search->order.insert(search->order.end(), order.begin(), order.end());
+  }
+  KeepPacket(*search, packet);
+  search->last_acknowledgement = acknowledgement;
+  search->began_at = this->now;
+  this->Report(FlowEventKind::kSearching, flow).tries =
+      static_cast<std::uint32_t>(search->order.size());
+  this->AskNextStep(*search);
+}
+
+void FlowBalancer::Impl::AskNextStep(FlowSearch& search) {
+  const std::size_t step = NextStep(search);
+  search.asked_at = this->now;
+  for (std::size_t i = 0; i < step; ++i) {
+    const ServerEntry& entry =
+        *this->view.Servers().Find(search.order[search.asked + i]);
+    this->Forward(entry, MarkPurpose::kSearch, search.packets.front());
+  }
+  search.asked += step;
+}
+
+void FlowBalancer::Impl::EndSearch(FlowSearch& search, bool all_answered) {
+  const FlowKey flow = search.flow;
+  const bool lost =
+      all_answered && this->view.IsLoaded() && this->view.IsReachable();
+  FlowEvent& event = this->Report(
+      lost ? FlowEventKind::kLost : FlowEventKind::kSearchGaveUp, flow);
+  event.tries = static_cast<std::uint32_t>(search.asked);
+  event.running = static_cast<std::uint32_t>(search.answered.size());
+  event.age = this->now - search.began_at;
+  if (lost) {
+    this->Reset(flow, search.last_acknowledgement);
+  }
+  this->searches.Erase(flow);
+}
+
+void FlowBalancer::Impl::ContinueOpenings() {
+  for (const FlowKey& flow : this->openings.Overdue(this->now)) {
+    Opening& opening = *this->openings.Find(flow);
+    this->view.Servers().NoteUnanswered(this->now, opening.tried.back(),
+                                        this->outbox.events);
+    this->AskNextServer(opening, "no_answer");
+  }
+}
+
+void FlowBalancer::Impl::ContinueSearches() {
+  for (const FlowKey& flow : this->searches.Overdue(this->now)) {
+    FlowSearch& search = *this->searches.Find(flow);
+    if (search.AllAsked()) {
+      this->EndSearch(search, search.AllAnswered());
+    } else {
+      this->AskNextStep(search);
+    }
+  }
+}
+
+void FlowBalancer::Impl::QueryAgents() {
+  std::size_t queries = 0;
+  for (auto& [key, entry] : this->view.Servers().All()) {
+    const bool quiet = !entry.heard || entry.doubted ||
+                       this->now - entry.heard_at > kQueryInterval;
+    if (!quiet || this->now - entry.queried_at < kQueryInterval ||
+        !entry.listed) {
+      continue;
+    }
+    if (++queries > kMaxQueriesPerTick) {
+      return;
+    }
+    entry.queried_at = this->now;
+    OutgoingNotice query;
+    query.host = entry.server.host;
+    query.notice.kind = NoticeKind::kQuery;
+    query.notice.service_tag = ServiceTag(entry.server.service);
+    query.notice.started_ms = entry.server.started_ms;
+    this->outbox.notices.push_back(std::move(query));
+  }
+}
+
+void FlowBalancer::Impl::UpdateReadiness(bool stop_requested) {
+  if (stop_requested && !this->stopping) {
+    this->stopping = true;
+    this->stop_at = this->now;
+    FlowEvent event;
+    event.kind = FlowEventKind::kStopping;
+    event.tries = static_cast<std::uint32_t>(this->cache.Size());
+    this->outbox.events.push_back(std::move(event));
+  }
+  const bool ready = this->view.IsLoaded() && !this->stopping;
+  if (ready != this->ready) {
+    this->ready = ready;
+    FlowEvent event;
+    event.kind = ready ? FlowEventKind::kReady : FlowEventKind::kNotReady;
+    event.version = this->view.Routes().Version();
+    event.tries = static_cast<std::uint32_t>(this->view.Servers().All().size());
+    this->outbox.events.push_back(std::move(event));
+  }
+  this->outbox.ready = ready;
+  this->outbox.may_exit =
+      this->stopping && this->now - this->stop_at >= kStopLinger;
+}
+
+void FlowBalancer::Impl::Forward(const ServerEntry& entry,
+                                 MarkPurpose purpose,
+                                 Bytes bytes) {
+  FlowForward forward;
+  forward.destination = {entry.server.host, this->settings.node.data.port};
+  forward.mark = {purpose, ServiceTag(entry.server.service),
+                  this->settings.node.data.address};
+  forward.bytes = std::move(bytes);
+  this->outbox.forwards.push_back(std::move(forward));
+}
+
+void FlowBalancer::Impl::Reset(const FlowKey& flow, std::uint32_t sequence) {
+  this->outbox.resets.push_back({flow, sequence});
+}
+
+FlowEvent& FlowBalancer::Impl::Report(FlowEventKind kind, const FlowKey& flow) {
+  FlowEvent& event = this->outbox.events.emplace_back();
+  event.kind = kind;
+  event.flow = flow;
+  return event;
+}
+
+std::string FlowBalancer::Impl::NameOfServer(ServerKey key) {
+  const ServerEntry* entry = this->view.Servers().Find(key);
+  return entry == nullptr ? std::string() : entry->server.name;
+}
+
+std::vector<MetricSample> FlowBalancer::Impl::Metrics() const {
+  std::vector<MetricSample> samples;
+  this->metrics.AppendTo(samples);
+  const auto gauge = [&samples](std::string name, double value) {
+    samples.push_back({std::move(name), MetricKind::kGauge, "", value});
+  };
+  gauge("flow_cache_entries", static_cast<double>(this->cache.Size()));
+  gauge("flow_openings", static_cast<double>(this->openings.Size()));
+  gauge("flow_searches", static_cast<double>(this->searches.Size()));
+  gauge("flow_servers", static_cast<double>(this->view.Servers().All().size()));
+  gauge("flow_routes", static_cast<double>(this->view.Routes().Size()));
+  gauge("flow_routes_version",
+        static_cast<double>(this->view.Routes().Version()));
+  gauge("flow_ready", this->ready ? 1 : 0);
+  return samples;
+}
+
+FlowBalancer::FlowBalancer(const FlowBalancerSettings& settings,
+                           std::uint64_t seed)
+    : impl(std::make_unique<Impl>(settings, seed)) {}
+
+FlowBalancer::~FlowBalancer() = default;
+
+FlowBalancerOutbox FlowBalancer::Tick(TimePoint now, FlowBalancerInbox inbox) {
+  return this->impl->Tick(now, std::move(inbox));
+}
+
+std::vector<MetricSample> FlowBalancer::Metrics() const {
+  return this->impl->Metrics();
+}
+
+}  // namespace cactuscross
--- /dev/null
+++ b/src/core/flow/flow_cache.h
@@ -0,0 +1,49 @@
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_FLOW_CACHE_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_FLOW_CACHE_H_
+
+// Which server holds a flow, as far as a balancer knows. Bounded; the entry
+// that was unused for longest goes first. Losing one costs a search.
+
+#include <unordered_map>
+
+#include <boost/intrusive/list.hpp>
+
+#include "cactuscross/flow_types.h"
+#include "cactuscross/flow_view.h"
+
+namespace cactuscross {
+
+class FlowCache {
+ public:
+  // Notes that `server` holds `flow`.
+  void Put(TimePoint now, const FlowKey& flow, ServerKey server);
+
+  // Returns the server of `flow` and notes the use; kNoServer if unknown.
+  // `closing`: the client has closed its side.
+  ServerKey Use(TimePoint now, const FlowKey& flow, bool closing);
+
+  void Erase(const FlowKey& flow);
+  void Expire(TimePoint now);
+  std::size_t Size() const { return this->entries.size(); }
+
+ private:
+  struct Entry : boost::intrusive::list_base_hook<> {
+    FlowKey flow;
+    ServerKey server = kNoServer;
+    TimePoint used_at;
+    bool closing = false;
+  };
+  using Entries = std::unordered_map<FlowKey, Entry, FlowKeyHash>;
+  // Ordered by last use, oldest first.
+  using Order = boost::intrusive::list<Entry>;
+
+  void EraseEntry(Entry& entry);
+
+  Entries entries;
+  Order open;
+  Order closing;
+};
+
+}  // namespace cactuscross
+
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_FLOW_CACHE_H_
--- /dev/null
+++ b/src/core/flow/flow_types.cc
@@ -0,0 +1,38 @@
+#include "cactuscross/flow_types.h"
+
+#include <xxhash.h>
+
+#include <array>
+
+#include "cactuscross/flow_event.h"
+#include "cactuscross/flow_view.h"
+
+namespace cactuscross {
+
+std::string ToString(const FlowKey& key) {
+  return ToString(key.client) + ">" + ToString(key.service_address);
+}
+
+ServerKey MakeServerKey(std::string_view name) {
+  return ServerKey{XXH3_64bits(name.data(), name.size())};
+}
+
+std::string_view NameOf(FlowEventKind kind) {
+  static constexpr std::array<std::string_view, kFlowEventKinds> kNames = {
+      "placed",          "replaced",
+      "accepted",        "refused",
+      "no_route",        "searching",
+      "found",           "lost",
+      "search_gave_up",  "disowned",
+      "server_down",     "server_up",
+      "server_doubted",  "server_trusted",
+      "server_listed",   "server_changed",
+      "server_unlisted", "entry_unreadable",
+      "routes_in_force", "store_lost",
+      "store_regained",  "ready",
+      "not_ready",       "stopping",
+  };
+  return kNames.at(static_cast<std::size_t>(kind));
+}
+
+}  // namespace cactuscross
--- /dev/null
+++ b/src/core/flow/placement.cc
@@ -0,0 +1,86 @@
+#include "src/core/flow/placement.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/core/flow/flow_order.h"
+
+namespace cactuscross {
+namespace {
+
+// Servers whose load is compared. A search for a flow begins with as many.
+constexpr std::size_t kChoices = 3;
+
+// Requests that an open flow without one in progress will have on average.
+constexpr double kIdleFlowLoad = 0.05;
+
+// A server that has just started works up to twice as long on a request.
+constexpr double kColdFactor = 2.0;
+
+// Load that another zone's server must have less, in requests: the way there
+// and back costs about as much as a short wait.
+constexpr double kOtherZoneLoad = 0.25;
+
+}  // namespace
+
+std::vector<ServerKey> OrderServers(const ServerTable& servers,
+                                    ServiceId service,
+                                    const FlowKey& flow) {
+  std::vector<std::pair<std::uint64_t, ServerKey>> weighted;
+  for (const ServerKey key : servers.OfService(service)) {
+    weighted.emplace_back(FlowWeight(flow, key), key);
+  }
+  std::sort(weighted.rbegin(), weighted.rend());
+  std::vector<ServerKey> order;
+  order.reserve(weighted.size());
+  for (const auto& [weight, key] : weighted) {
+    order.push_back(key);
+  }
+  return order;
+}
+
+double LoadScore(TimePoint now,
+                 const ServerEntry& entry,
+                 std::string_view own_zone) {
+  double load =
+      entry.load.running + entry.placed + kIdleFlowLoad * entry.load.open_flows;
+  if (entry.server.zone != own_zone) {
+    load += kOtherZoneLoad;
+  }
+  const double cold = now < entry.warm_at ? kColdFactor : 1.0;
+  return (load + 1.0) * cold / std::max(entry.server.slots, 1U);
+}
+
+ServerKey PlaceFlow(TimePoint now,
+                    ServerTable& servers,
+                    ServiceId service,
+                    const FlowKey& flow,
+                    std::string_view own_zone,
+                    const std::vector<ServerKey>& excluded) {
+  ServerKey best = kNoServer;
+  ServerKey fallback = kNoServer;
+  double best_score = 0;
+  std::size_t compared = 0;
+  for (const ServerKey key : OrderServers(servers, service, flow)) {
+    const ServerEntry& entry = *servers.Find(key);
+    if (!IsPlaceable(now, entry) ||
+        std::find(excluded.begin(), excluded.end(), key) != excluded.end()) {
+      continue;
+    }
+    if (entry.doubted) {
+      fallback = fallback == kNoServer ? key : fallback;
+      continue;
+    }
+    const double score = LoadScore(now, entry, own_zone);
+    if (best == kNoServer || score < best_score) {
+      best = key;
+      best_score = score;
+    }
+    if (++compared == kChoices) {
+      break;
+    }
+  }
+  return best == kNoServer ? fallback : best;
+}
+
+}  // namespace cactuscross
--- /dev/null
+++ b/src/core/flow/placement.h
@@ -0,0 +1,35 @@
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_PLACEMENT_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_PLACEMENT_H_
+
+// Choice of a server for a new flow: the least loaded of the first few in the
+// flow's rendezvous order.
+
+#include <string_view>
+#include <vector>
+
+#include "src/core/flow/server_table.h"
+
+namespace cactuscross {
+
+// Servers of `service` in the order of `flow`, all that may hold its flows.
+std::vector<ServerKey> OrderServers(const ServerTable& servers,
+                                    ServiceId service,
+                                    const FlowKey& flow);
+
+// Load of a server per slot; the lower the better.
+double LoadScore(TimePoint now,
+                 const ServerEntry& entry,
+                 std::string_view own_zone);
+
+// Returns a server that may get `flow` and is not in `excluded`; kNoServer if
+// there is none. Servers whose agents leave openings unanswered come last.
+ServerKey PlaceFlow(TimePoint now,
+                    ServerTable& servers,
+                    ServiceId service,
+                    const FlowKey& flow,
+                    std::string_view own_zone,
+                    const std::vector<ServerKey>& excluded);
+
+}  // namespace cactuscross
+
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_PLACEMENT_H_
--- /dev/null
+++ b/src/core/flow/route_set.cc
@@ -0,0 +1,45 @@
+#include "src/core/flow/route_set.h"
+
+#include "src/core/flow/flow_order.h"
+
+namespace cactuscross {
+
+bool ActiveRoutes::Apply(const RouteSet& routes) {
+  if (this->loaded && routes.version <= this->version) {
+    return false;
+  }
+  this->loaded = true;
+  this->version = routes.version;
+  this->routes.clear();
+  for (const FlowRoute& route : routes.routes) {
+    this->routes[route.service_address] = route.services;
+  }
+  return true;
+}
+
+const std::vector<ServiceShare>* ActiveRoutes::Find(
+    const Endpoint& address) const {
+  const auto found = this->routes.find(address);
+  return found == this->routes.end() ? nullptr : &found->second;
+}
+
+ServiceId ChooseService(const FlowKey& flow,
+                        const std::vector<ServiceShare>& shares) {
+  std::uint32_t total = 0;
+  for (const ServiceShare& share : shares) {
+    total += share.weight;
+  }
+  if (total == 0) {
+    return kNoService;
+  }
+  std::uint32_t draw = FlowDraw(flow, total);
+  for (const ServiceShare& share : shares) {
+    if (draw < share.weight) {
+      return share.service;
+    }
+    draw -= share.weight;
+  }
+  return kNoService;
+}
+
+}  // namespace cactuscross
--- /dev/null
+++ b/src/core/flow/search_table.h
@@ -0,0 +1,55 @@
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_SEARCH_TABLE_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_SEARCH_TABLE_H_
+
+// Searches for the server that holds a flow: the flow's packets go to servers
+// in the flow's order, a few at a time; agents say whether theirs holds it.
+
+#include <unordered_map>
+#include <vector>
+
+#include "cactuscross/flow_types.h"
+#include "cactuscross/flow_view.h"
+
+namespace cactuscross {
+
+struct FlowSearch {
+  FlowKey flow;
+  std::vector<ServerKey> order;     // all that may hold the flow
+  std::size_t asked = 0;            // the first so many of `order` were asked
+  std::vector<ServerKey> answered;  // of those: do not hold it
+  std::vector<Bytes> packets;       // to be sent once it is found
+  std::uint32_t last_acknowledgement = 0;  // of the client
+  TimePoint began_at;
+  TimePoint asked_at;
+
+  bool AllAnswered() const { return this->answered.size() >= this->asked; }
+  bool AllAsked() const { return this->asked == this->order.size(); }
+};
+
+class SearchTable {
+ public:
+  FlowSearch* Find(const FlowKey& flow);
+  // Null if the table is full.
+  FlowSearch* Add(const FlowKey& flow);
+  void Erase(const FlowKey& flow) { this->searches.erase(flow); }
+  std::size_t Size() const { return this->searches.size(); }
+
+  // Searches whose last servers have not all answered in time.
+  std::vector<FlowKey> Overdue(TimePoint now) const;
+
+ private:
+  std::unordered_map<FlowKey, FlowSearch, FlowKeyHash> searches;
+};
+
+// Keeps `packet` for the server that will be found, as far as there is room.
+void KeepPacket(FlowSearch& search, ByteView packet);
+
+// Notes that `server` does not hold the flow.
+void NoteNotHeld(FlowSearch& search, ServerKey server);
+
+// How many servers are asked at once next.
+std::size_t NextStep(const FlowSearch& search);
+
+}  // namespace cactuscross
+
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_SEARCH_TABLE_H_
--- /dev/null
+++ b/src/core/flow/server_flows.cc
@@ -0,0 +1,172 @@
+#include "src/core/flow/server_flows.h"
+
+namespace cactuscross {
+namespace {
+
+// A server holds 2,000 connections; the rest are flows that close.
+constexpr std::size_t kMaxFlows = 8192;
+
+// Life of an entry without a packet, by state. A client asks for at most 1.4 s,
+// an open flow lives for at most 60 s, and both ends repeat their last packets
+// for some seconds.
+constexpr Duration kAskedLife{2000000};
+constexpr Duration kOpenLife{60000000};
+constexpr Duration kClosingLife{6000000};
+
+// Largest distance of a client's acknowledgement from the server's first
+// sequence number, for a flow whose grant the client has just confirmed.
+constexpr std::uint32_t kConfirmWindow = 1U << 20U;
+
+bool IsNewer(std::uint32_t sequence, std::uint32_t than) {
+  return static_cast<std::int32_t>(sequence - than) > 0;
+}
+
+Duration LifeOf(ServerFlowState state) {
+  switch (state) {
+    case ServerFlowState::kAsked:
+      return kAskedLife;
+    case ServerFlowState::kClosing:
+      return kClosingLife;
+    default:
+      return kOpenLife;
+  }
+}
+
+}  // namespace
+
+ServerFlow* ServerFlows::Find(const FlowKey& key) {
+  const auto found = this->flows.find(key);
+  return found == this->flows.end() ? nullptr : &found->second;
+}
+
+ServerFlow& ServerFlows::Add(TimePoint now, const FlowKey& key) {
+  if (this->flows.size() >= kMaxFlows) {
+    this->forgotten = true;
+    const FlowKey oldest = this->order.front().key;
+    this->Erase(oldest);
+  }
+  ServerFlow& flow = this->flows[key];
+  flow.key = key;
+  flow.used_at = now;
+  this->order.push_back(flow);
+  return flow;
+}
+
+void ServerFlows::Erase(const FlowKey& key) {
+  const auto found = this->flows.find(key);
+  if (found == this->flows.end()) {
+    return;
+  }
+  ServerFlow& flow = found->second;
+  this->SetRunning(flow, false);
+  this->SetState(flow, ServerFlowState::kClosing);
+  this->order.erase(Order::s_iterator_to(flow));
+  this->flows.erase(found);
+}
+
+void ServerFlows::Clear() {
+  this->order.clear();
+  this->flows.clear();
+  this->running = 0;
+  this->open = 0;
+}
+
+void ServerFlows::NoteFromClient(TimePoint now,
+                                 ServerFlow& flow,
+                                 const FlowPacket& packet) {
+  this->Touch(now, flow);
+  if (packet.opening) {
+    flow.client_sequence = packet.sequence;
+    return;
+  }
+  flow.acknowledgement = packet.acknowledgement;
+  if (packet.closing || packet.reset) {
+    this->SetState(flow, ServerFlowState::kClosing);
+  } else if (flow.state != ServerFlowState::kClosing) {
+    this->SetState(flow, ServerFlowState::kOpen);
+  }
+  if (packet.data_bytes > 0 &&
+      IsNewer(packet.sequence + packet.data_bytes, flow.client_sequence)) {
+    flow.client_sequence = packet.sequence + packet.data_bytes;
+    this->SetRunning(flow, true);
+  }
+  if (packet.reset) {
+    this->SetRunning(flow, false);
+  }
+}
+
+void ServerFlows::NoteFromServer(TimePoint now,
+                                 ServerFlow& flow,
+                                 const FlowPacket& packet) {
+  this->Touch(now, flow);
+  if (packet.opening) {
+    if (flow.state == ServerFlowState::kAsked) {
+      this->SetState(flow, ServerFlowState::kGranted);
+    }
+    flow.server_sequence = packet.sequence;
+    return;
+  }
+  if (packet.data_bytes > 0 || packet.closing || packet.reset) {
+    this->SetRunning(flow, false);
+  }
+  if (packet.closing || packet.reset) {
+    this->SetState(flow, ServerFlowState::kClosing);
+  } else if (flow.state == ServerFlowState::kAsked) {
+    this->SetState(flow, ServerFlowState::kOpen);
+  }
+}
+
+void ServerFlows::Expire(TimePoint now) {
+  // The list is ordered by last use, not by end of life: a flow that closes may
+  // stay a little longer behind an open one.
+  while (!this->order.empty() && now - this->order.front().used_at >
+                                     LifeOf(this->order.front().state)) {
+    const FlowKey key = this->order.front().key;
+    this->Erase(key);
+  }
+}
+
+std::vector<FlowReset> ServerFlows::ResetsOfOpenFlows() const {
+  std::vector<FlowReset> resets;
+  for (const auto& [key, flow] : this->flows) {
+    if (flow.state != ServerFlowState::kClosing) {
+      resets.push_back({key, flow.acknowledgement});
+    }
+  }
+  return resets;
+}
+
+void ServerFlows::Touch(TimePoint now, ServerFlow& flow) {
+  flow.used_at = now;
+  this->order.erase(Order::s_iterator_to(flow));
+  this->order.push_back(flow);
+}
+
+void ServerFlows::SetState(ServerFlow& flow, ServerFlowState state) {
+  const bool was_open = flow.state == ServerFlowState::kOpen;
+  const bool is_open = state == ServerFlowState::kOpen;
+  flow.state = state;
+  if (was_open != is_open) {
+    this->open += is_open ? 1U : -1U;
+  }
+}
+
+void ServerFlows::SetRunning(ServerFlow& flow, bool running) {
+  if (flow.running != running) {
+    flow.running = running;
+    this->running += running ? 1U : -1U;
+  }
+}
+
+bool BelongsTo(const ServerFlow& flow, const FlowPacket& packet) {
+  switch (flow.state) {
+    case ServerFlowState::kAsked:
+      return false;
+    case ServerFlowState::kGranted:
+      return packet.acknowledgement - flow.server_sequence < kConfirmWindow;
+    default:
+      return true;
+  }
+}
+
+}  // namespace cactuscross
--- /dev/null
+++ b/src/core/flow/server_table.cc
@@ -0,0 +1,201 @@
+#include "src/core/flow/server_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cactuscross {
+namespace {
+
+// Entries that lapse while the store is away are back within about 2 s of its
+// return; one that is missing for longer is gone.
+constexpr Duration kLapseGrace{2000000};
+
+// Unanswered openings in a row until a server is avoided. One may be a lost
+// datagram.
+constexpr std::uint32_t kDoubtAfterUnanswered = 2;
+
+FlowEvent ServerEvent(FlowEventKind kind, const ServerEntry& entry) {
+  FlowEvent event;
+  event.kind = kind;
+  event.server = entry.server.name;
+  event.version = entry.revision;
+  return event;
+}
+
+bool IsNewStart(const FlowServer& before, const FlowServer& after) {
+  return before.started_ms != after.started_ms || before.host != after.host ||
+         before.service != after.service;
+}
+
+void ForgetLoad(ServerEntry& entry) {
+  entry.load = ServerLoad();
+  entry.heard = false;
+  entry.placed = 0;
+  entry.unanswered = 0;
+  entry.doubted = false;
+}
+
+}  // namespace
+
+void ServerTable::Apply(TimePoint now,
+                        const ServerChange& change,
+                        std::vector<FlowEvent>& events) {
+  const ServerKey key = MakeServerKey(change.name);
+  const auto found = this->entries.find(key);
+  if (change.removed) {
+    if (found != this->entries.end() && found->second.listed &&
+        found->second.revision < change.revision) {
+      this->Unlist(now, found->second, change.revision, events);
+    }
+    return;
+  }
+  if (found != this->entries.end() &&
+      found->second.revision >= change.revision) {
+    return;
+  }
+  const bool is_new = found == this->entries.end();
+  ServerEntry& entry = is_new ? this->entries[key] : found->second;
+  const bool was_listed = !is_new && entry.listed;
+  const ServerPhase phase_before = entry.server.phase;
+  const bool moved = is_new || IsNewStart(entry.server, change.server);
+  if (moved) {
+    ForgetLoad(entry);
+  }
+  entry.key = key;
+  entry.server = change.server;
+  entry.revision = change.revision;
+  entry.listed = true;
+  entry.warm_at = now + change.server.cold_for;
+  if (moved) {
+    this->IndexByService();
+  }
+  if (!was_listed || moved || phase_before != change.server.phase) {
+    FlowEvent event = ServerEvent(was_listed ? FlowEventKind::kServerChanged
+                                             : FlowEventKind::kServerListed,
+                                  entry);
+    event.reason =
+        change.server.phase == ServerPhase::kLeaving ? "leaving" : "serving";
+    event.age = change.server.cold_for;
+    events.push_back(std::move(event));
+  }
+}
+
+void ServerTable::FinishList(TimePoint now,
+                             const std::vector<ServerKey>& names,
+                             std::uint64_t revision,
+                             std::vector<FlowEvent>& events) {
+  for (auto& [key, entry] : this->entries) {
+    if (entry.listed && entry.revision <= revision &&
+        std::find(names.begin(), names.end(), key) == names.end()) {
+      this->Unlist(now, entry, revision, events);
+    }
+  }
+}
+
+void ServerTable::Unlist(TimePoint now,
+                         ServerEntry& entry,
+                         std::uint64_t revision,
+                         std::vector<FlowEvent>& events) {
+  entry.listed = false;
+  entry.unlisted_at = now;
+  entry.revision = revision;
+  events.push_back(ServerEvent(FlowEventKind::kServerUnlisted, entry));
+}
+
+void ServerTable::NoteNotice(TimePoint now,
+                             const FlowNotice& notice,
+                             std::vector<FlowEvent>& events) {
+  ServerEntry* entry = this->FindByHost(notice.sender, notice.service_tag);
+  if (entry == nullptr) {
+    return;
+  }
+  if (entry->load.down != notice.load.down) {
+    events.push_back(ServerEvent(notice.load.down ? FlowEventKind::kServerDown
+                                                  : FlowEventKind::kServerUp,
+                                 *entry));
+  }
+  if (entry->doubted) {
+    events.push_back(ServerEvent(FlowEventKind::kServerTrusted, *entry));
+  }
+  entry->load = notice.load;
+  entry->heard = true;
+  entry->heard_at = now;
+  entry->placed = 0;
+  entry->unanswered = 0;
+  entry->doubted = false;
+}
+
+void ServerTable::NoteUnanswered(TimePoint now,
+                                 ServerKey key,
+                                 std::vector<FlowEvent>& events) {
+  ServerEntry* entry = this->Find(key);
+  if (entry == nullptr) {
+    return;
+  }
+  ++entry->unanswered;
+  if (entry->doubted || entry->unanswered < kDoubtAfterUnanswered) {
+    return;
+  }
+  entry->doubted = true;
+  FlowEvent event = ServerEvent(FlowEventKind::kServerDoubted, *entry);
+  event.tries = entry->unanswered;
+  if (entry->heard) {
+    event.age = now - entry->heard_at;
+  }
+  events.push_back(std::move(event));
+}
+
+void ServerTable::Expire(TimePoint now, Duration retention) {
+  bool changed = false;
+  for (auto entry = this->entries.begin(); entry != this->entries.end();) {
+    if (!entry->second.listed && now - entry->second.unlisted_at > retention) {
+      entry = this->entries.erase(entry);
+      changed = true;
+    } else {
+      ++entry;
+    }
+  }
+  if (changed) {
+    this->IndexByService();
+  }
+}
+
+ServerEntry* ServerTable::Find(ServerKey key) {
+  const auto found = this->entries.find(key);
+  return found == this->entries.end() ? nullptr : &found->second;
+}
+
+ServerEntry* ServerTable::FindByHost(std::uint32_t host,
+                                     std::uint32_t service_tag) {
+  ServerEntry* newest = nullptr;
+  for (auto& [key, entry] : this->entries) {
+    if (entry.server.host == host &&
+        ServiceTag(entry.server.service) == service_tag &&
+        (newest == nullptr || newest->revision < entry.revision)) {
+      newest = &entry;
+    }
+  }
+  return newest;
+}
+
+const std::vector<ServerKey>& ServerTable::OfService(ServiceId service) const {
+  static const std::vector<ServerKey> none;
+  const auto found = this->by_service.find(ToNumber(service));
+  return found == this->by_service.end() ? none : found->second;
+}
+
+void ServerTable::IndexByService() {
+  this->by_service.clear();
+  for (const auto& [key, entry] : this->entries) {
+    this->by_service[ToNumber(entry.server.service)].push_back(key);
+  }
+}
+
+bool IsPlaceable(TimePoint now, const ServerEntry& entry) {
+  if (entry.server.phase == ServerPhase::kLeaving || entry.load.down) {
+    return false;
+  }
+  return entry.listed || now - entry.unlisted_at < kLapseGrace;
+}
+
+}  // namespace cactuscross
--- /dev/null
+++ b/src/core/flow/store_reader.h
@@ -0,0 +1,57 @@
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_STORE_READER_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_STORE_READER_H_
+
+// Reads one subject of the store: a list first, then watches; a list again
+// where the store's history does not reach back far enough.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "cactuscross/flow_view.h"
+
+namespace cactuscross {
+
+class StoreReader {
+ public:
+  StoreReader(StoreSubject subject, std::uint64_t seed);
+
+  // The next call to make, if one is due and none is open.
+  std::optional<StoreCall> NextCall(TimePoint now);
+
+  // Notes how the open call ended.
+  void NoteAnswer(TimePoint now, const StoreAnswer& answer);
+
+  StoreSubject Subject() const { return this->subject; }
+  // True once a whole list was read.
+  bool IsLoaded() const { return this->loaded; }
+  // True if the last answer was the last page of a list.
+  bool FinishedList() const { return this->finished_list; }
+  // Revision that the list is complete up to.
+  std::uint64_t ListRevision() const { return this->list_revision; }
+  // False while calls fail.
+  bool IsReachable() const { return this->failures == 0; }
+  std::uint32_t Failures() const { return this->failures; }
+  // Last answer that was usable.
+  TimePoint AnsweredAt() const { return this->answered_at; }
+
+ private:
+  void Fail(TimePoint now, const StoreAnswer& answer);
+
+  const StoreSubject subject;
+  std::uint64_t random_state;
+  bool call_open = false;
+  bool loaded = false;
+  bool listing = true;
+  bool finished_list = false;
+  std::string page_after;
+  std::uint64_t list_revision = 0;   // at the first page of the open list
+  std::uint64_t watch_revision = 0;  // watches continue from it
+  TimePoint next_call_at;
+  TimePoint answered_at;
+  std::uint32_t failures = 0;  // in a row
+};
+
+}  // namespace cactuscross
+
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_STORE_READER_H_
--- /dev/null
+++ b/src/core/flow/store_view.cc
@@ -0,0 +1,106 @@
+#include "src/core/flow/store_view.h"
+
+#include <utility>
+
+namespace cactuscross {
+namespace {
+
+// Servers that left the list are still asked for their flows for as long as a
+// flow may live (flowMaxS of the platform).
+constexpr Duration kUnlistedRetention{60000000};
+
+FlowEvent StoreEvent(FlowEventKind kind,
+                     const StoreAnswer& answer,
+                     std::uint32_t failures) {
+  FlowEvent event;
+  event.kind = kind;
+  event.reason = answer.subject == StoreSubject::kRoutes ? "routes" : "servers";
+  event.detail = answer.detail;
+  event.version = answer.revision;
+  event.tries = failures;
+  return event;
+}
+
+}  // namespace
+
+StoreView::StoreView(std::uint64_t seed)
+    : route_reader(StoreSubject::kRoutes, seed),
+      server_reader(StoreSubject::kServers, ~seed) {}
+
+void StoreView::Tick(TimePoint now,
+                     const std::vector<StoreAnswer>& answers,
+                     FlowBalancerOutbox& outbox) {
+  for (const StoreAnswer& answer : answers) {
+    this->Apply(now, answer, outbox.events);
+  }
+  this->servers.Expire(now, kUnlistedRetention);
+  for (StoreReader* reader : {&this->route_reader, &this->server_reader}) {
+    if (auto call = reader->NextCall(now)) {
+      outbox.store_calls.push_back(std::move(*call));
+    }
+  }
+}
+
+bool StoreView::IsLoaded() const {
+  return this->routes.IsLoaded() && this->server_reader.IsLoaded();
+}
+
+bool StoreView::IsReachable() const {
+  return this->route_reader.IsReachable() && this->server_reader.IsReachable();
+}
+
+StoreReader& StoreView::ReaderOf(StoreSubject subject) {
+  return subject == StoreSubject::kRoutes ? this->route_reader
+                                          : this->server_reader;
+}
+
+void StoreView::Apply(TimePoint now,
+                      const StoreAnswer& answer,
+                      std::vector<FlowEvent>& events) {
+  StoreReader& reader = this->ReaderOf(answer.subject);
+  const bool was_reachable = reader.IsReachable();
+  reader.NoteAnswer(now, answer);
+  if (was_reachable != reader.IsReachable()) {
+    events.push_back(StoreEvent(was_reachable ? FlowEventKind::kStoreLost
+                                              : FlowEventKind::kStoreRegained,
+                                answer, reader.Failures()));
+  }
+  for (const std::string& name : answer.unreadable) {
+    FlowEvent event;
+    event.kind = FlowEventKind::kEntryUnreadable;
+    event.server = name;
+    event.version = answer.revision;
+    events.push_back(std::move(event));
+  }
+  for (const RouteSet& routes : answer.routes) {
+    if (this->routes.Apply(routes)) {
+      FlowEvent event;
+      event.kind = FlowEventKind::kRoutesInForce;
+      event.version = routes.version;
+      event.tries = static_cast<std::uint32_t>(routes.routes.size());
+      events.push_back(std::move(event));
+    }
+  }
+  if (answer.subject == StoreSubject::kServers &&
+      answer.status == StoreStatus::kOk) {
+    this->ApplyServers(now, answer, events);
+  }
+}
+
+void StoreView::ApplyServers(TimePoint now,
+                             const StoreAnswer& answer,
+                             std::vector<FlowEvent>& events) {
+  for (const ServerChange& change : answer.servers) {
+    this->servers.Apply(now, change, events);
+    if (answer.kind == StoreCallKind::kList) {
+      this->listed.push_back(MakeServerKey(change.name));
+    }
+  }
+  if (this->server_reader.FinishedList()) {
+    this->servers.FinishList(now, this->listed,
+                             this->server_reader.ListRevision(), events);
+    this->listed.clear();
+  }
+}
+
+}  // namespace cactuscross
--- /dev/null
+++ b/src/shell/flow/flow_log.cc
@@ -0,0 +1,81 @@
+#include "src/shell/flow/flow_log.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "src/shell/log.h"
+
+namespace cactuscross {
+namespace {
+
+// Lines a second, and at once. A line takes some 10 us: at most 0.3% of a core.
+constexpr double kLinesPerSecond = 300;
+constexpr double kBurst = 600;
+
+nlohmann::json FieldsOf(const FlowEvent& event) {
+  nlohmann::json fields = nlohmann::json::object();
+  if (event.flow) {
+    fields["flow"] = ToString(*event.flow);
+  }
+  if (!event.server.empty()) {
+    fields["server"] = event.server;
+  }
+  if (!event.reason.empty()) {
+    fields["reason"] = event.reason;
+  }
+  if (!event.detail.empty()) {
+    fields["detail"] = event.detail;
+  }
+  if (event.version) {
+    fields["version"] = *event.version;
+  }
+  if (event.running) {
+    fields["running"] = *event.running;
+  }
+  if (event.tries) {
+    fields["count"] = *event.tries;
+  }
+  if (event.age) {
+    fields["age_us"] = event.age->count();
+  }
+  return fields;
+}
+
+}  // namespace
+
+FlowLog::FlowLog(std::string_view name) : tokens(kBurst) {
+  InitLogging("cactuscross", name);
+}
+
+void FlowLog::Write(TimePoint now, const std::vector<FlowEvent>& events) {
+  for (const FlowEvent& event : events) {
+    if (!this->Take(now, event.kind)) {
+      ++this->left_out;
+      continue;
+    }
+    if (this->left_out != this->left_out_told) {
+      Log(LogSeverity::kWarning, "log", "lines_left_out",
+          {{"count", this->left_out - this->left_out_told}});
+      this->left_out_told = this->left_out;
+    }
+    Log(LogSeverity::kInfo, "flow", NameOf(event.kind), FieldsOf(event));
+  }
+}
+
+bool FlowLog::Take(TimePoint now, FlowEventKind kind) {
+  const std::chrono::duration<double> since = now - this->refilled_at;
+  this->refilled_at = now;
+  this->tokens =
+      std::min(kBurst, this->tokens + since.count() * kLinesPerSecond);
+  // Changes of belief are few and explain the rest: they are always written.
+  if (kind >= FlowEventKind::kServerDown) {
+    return true;
+  }
+  if (this->tokens < 1) {
+    return false;
+  }
+  this->tokens -= 1;
+  return true;
+}
+
+}  // namespace cactuscross
--- /dev/null
+++ b/src/shell/flow/flow_process.h
@@ -0,0 +1,79 @@
+#ifndef CACTUSCROSS_SRC_SHELL_FLOW_FLOW_PROCESS_H_
+#define CACTUSCROSS_SRC_SHELL_FLOW_FLOW_PROCESS_H_
+
+// What both roles of the flow path share: sockets for packets and notices,
+// readiness and metrics, signals, logs and the wait between two ticks.
+
+#include <poll.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "cactuscross/flow_balancer.h"
+#include "cactuscross/flow_settings.h"
+#include "src/shell/flow/flow_adapter.h"
+#include "src/shell/flow/flow_log.h"
+#include "src/shell/flow/http_listener.h"
+#include "src/shell/system.h"
+#include "src/shell/udp_socket.h"
+
+namespace cactuscross {
+
+// Opens a UDP socket. Throws std::system_error where it cannot be bound.
+UdpSocket OpenSocket(const Endpoint& local);
+
+class FlowProcess {
+ public:
+  using MetricsSource = std::function<std::vector<MetricSample>()>;
+
+  // Opens every channel. Throws std::exception where one cannot be opened.
+  FlowProcess(const FlowNodeSettings& settings,
+              const FlowAdapter& adapter,
+              MetricsSource metrics);
+
+  // Sleeps until something arrives on the process' own channels or `entries`,
+  // at most until the next tick is due.
+  void Wait(std::vector<pollfd>& entries);
+
+  // Answers HTTP requests.
+  void Serve(TimePoint now);
+
+  // One batch of packets from `socket`; valid until the next Receive().
+  std::vector<FlowPacket> ReceivePackets(const UdpSocket& socket,
+                                         bool from_server);
+  std::vector<FlowNotice> ReceiveNotices();
+
+  void SendPackets(const UdpSocket& socket, std::vector<FlowForward> forwards);
+  void SendResets(const UdpSocket& socket,
+                  const std::vector<FlowReset>& resets);
+  void SendNotices(const std::vector<OutgoingNotice>& notices);
+
+  bool StopRequested() { return this->stop_signal.Check(); }
+  void SetReady(bool ready) { this->ready = ready; }
+  void WriteLog(TimePoint now, const std::vector<FlowEvent>& events) {
+    this->log.Write(now, events);
+  }
+  const UdpSocket& Data() const { return this->data; }
+
+ private:
+  HttpReply Answer(std::string_view path) const;
+  void Send(const UdpSocket& socket,
+            const std::vector<OutgoingDatagram>& datagrams);
+
+  const FlowNodeSettings settings;
+  const FlowAdapter& adapter;
+  const MetricsSource metrics;
+  StopSignal stop_signal;
+  FlowLog log;
+  UdpSocket data;
+  UdpSocket peer;
+  std::vector<HttpListener> listeners;
+  bool ready = false;
+  std::uint64_t undecodable = 0;
+  std::uint64_t unsent = 0;
+};
+
+}  // namespace cactuscross
+
+#endif  // CACTUSCROSS_SRC_SHELL_FLOW_FLOW_PROCESS_H_
--- /dev/null
+++ b/src/shell/flow/run_flow_agent.cc
@@ -0,0 +1,112 @@
+#include "src/shell/flow/run_flow_agent.h"
+
+#include <exception>
+#include <utility>
+
+#include "cactuscross/flow_agent.h"
+#include "src/shell/flow/flow_process.h"
+#include "src/shell/flow/server_probe.h"
+#include "src/shell/log.h"
+
+namespace cactuscross {
+namespace {
+
+// See run_flow_balancer.cc.
+constexpr int kMaxBatches = 8;
+
+constexpr std::uint64_t kMicrosecondsPerMillisecond = 1000;
+
+class AgentLoop {
+ public:
+  AgentLoop(const FlowAgentSettings& settings, const FlowAdapter& adapter)
+      : agent(settings,
+              MonotonicNow(),
+              ToNumber(WallClockMicroseconds()) / kMicrosecondsPerMillisecond),
+        process(settings.node,
+                adapter,
+                [this] { return this->agent.Metrics(); }),
+        outbound(OpenSocket(settings.outbound)),
+        probe(settings.server) {
+    this->process.SetReady(true);
+  }
+
+  // Returns whether the process goes on.
+  bool RunOnce() {
+    std::vector<pollfd> entries;
+    entries.push_back({this->outbound.Get(), POLLIN, 0});
+    this->probe.AppendPollEntries(entries);
+    this->process.Wait(entries);
+    for (int batch = 0; batch < kMaxBatches; ++batch) {
+      if (!this->TickOnce()) {
+        break;
+      }
+    }
+    this->process.Serve(MonotonicNow());
+    return !this->may_exit;
+  }
+
+ private:
+  // Two ticks, since packets point into buffers that both sockets share.
+  // Returns whether there may be more packets.
+  bool TickOnce() {
+    FlowAgentInbox inbox;
+    inbox.notices = this->process.ReceiveNotices();
+    inbox.from_server =
+        this->process.ReceivePackets(this->outbound, /*from_server=*/true);
+    bool more = !inbox.from_server.empty();
+    this->Tick(std::move(inbox));
+
+    inbox = FlowAgentInbox();
+    inbox.probe = this->probe.Continue(MonotonicNow());
+    inbox.stop_requested = this->process.StopRequested();
+    inbox.from_balancers = this->process.ReceivePackets(this->process.Data(),
+                                                        /*from_server=*/false);
+    more = more || !inbox.from_balancers.empty();
+    this->Tick(std::move(inbox));
+    return more;
+  }
+
+  void Tick(FlowAgentInbox inbox) {
+    const TimePoint now = MonotonicNow();
+    FlowAgentOutbox outbox = this->agent.Tick(now, std::move(inbox));
+    this->process.SendPackets(this->outbound, std::move(outbox.to_server));
+    this->process.SendPackets(this->process.Data(),
+                              std::move(outbox.to_clients));
+    this->process.SendResets(this->process.Data(), outbox.resets);
+    this->process.SendNotices(outbox.notices);
+    if (outbox.probe) {
+      this->probe.Begin(now);
+    }
+    this->process.WriteLog(now, outbox.events);
+    this->may_exit = this->may_exit || outbox.may_exit;
+  }
+
+  FlowAgent agent;
+  FlowProcess process;
+  UdpSocket outbound;
+  ServerProbe probe;
+  bool may_exit = false;
+};
+
+}  // namespace
+
+int RunFlowAgent(const FlowAgentSettings& settings,
+                 const FlowAdapter& adapter) {
+  try {
+    AgentLoop loop(settings, adapter);
+    Log(LogSeverity::kInfo, "process", "started",
+        {{"role", "flow-agent"},
+         {"data", ToString(settings.node.data)},
+         {"service", settings.service},
+         {"server", ToString(settings.server)}});
+    while (loop.RunOnce()) {
+    }
+    Log(LogSeverity::kInfo, "process", "stopped");
+    return 0;
+  } catch (const std::exception& error) {
+    Log(LogSeverity::kError, "process", "failed", {{"error", error.what()}});
+    return 1;
+  }
+}
+
+}  // namespace cactuscross
--- /dev/null
+++ b/src/shell/flow/run_flow_balancer.cc
@@ -0,0 +1,90 @@
+#include "src/shell/flow/run_flow_balancer.h"
+
+#include <exception>
+#include <utility>
+
+#include "src/shell/flow/flow_process.h"
+#include "src/shell/log.h"
+
+namespace cactuscross {
+namespace {
+
+// Batches of packets that are taken between two polls; the rest waits until
+// notices, store and readiness had their turn.
+constexpr int kMaxBatches = 8;
+
+class BalancerLoop {
+ public:
+  BalancerLoop(const FlowBalancerSettings& settings, const FlowAdapter& adapter)
+      : balancer(settings, MakeCoreDependencies().seed),
+        process(settings.node,
+                adapter,
+                [this] { return this->balancer.Metrics(); }),
+        store(adapter.open_store(settings.store)) {}
+
+  // Returns whether the process goes on.
+  bool RunOnce() {
+    std::vector<pollfd> entries;
+    this->store->AppendPollEntries(entries);
+    this->process.Wait(entries);
+    for (int batch = 0; batch < kMaxBatches; ++batch) {
+      if (!this->TickOnce()) {
+        break;
+      }
+    }
+    this->process.Serve(MonotonicNow());
+    return !this->may_exit;
+  }
+
+ private:
+  // Returns whether there may be more packets.
+  bool TickOnce() {
+    const TimePoint now = MonotonicNow();
+    FlowBalancerInbox inbox;
+    inbox.notices = this->process.ReceiveNotices();
+    inbox.store_answers = this->store->Continue(now);
+    inbox.stop_requested = this->process.StopRequested();
+    // Last, since the packets point into the buffers of Receive().
+    inbox.packets = this->process.ReceivePackets(this->process.Data(), false);
+    const bool more =
+        !inbox.packets.empty() || inbox.notices.size() == kReceiveBatch;
+    FlowBalancerOutbox outbox = this->balancer.Tick(now, std::move(inbox));
+    this->process.SendPackets(this->process.Data(), std::move(outbox.forwards));
+    this->process.SendResets(this->process.Data(), outbox.resets);
+    this->process.SendNotices(outbox.notices);
+    for (const StoreCall& call : outbox.store_calls) {
+      this->store->Begin(now, call);
+    }
+    this->process.SetReady(outbox.ready);
+    this->process.WriteLog(now, outbox.events);
+    this->may_exit = outbox.may_exit;
+    return more;
+  }
+
+  FlowBalancer balancer;
+  FlowProcess process;
+  std::unique_ptr<FlowStore> store;
+  bool may_exit = false;
+};
+
+}  // namespace
+
+int RunFlowBalancer(const FlowBalancerSettings& settings,
+                    const FlowAdapter& adapter) {
+  try {
+    BalancerLoop loop(settings, adapter);
+    Log(LogSeverity::kInfo, "process", "started",
+        {{"role", "flow-balancer"},
+         {"data", ToString(settings.node.data)},
+         {"store", ToString(settings.store)}});
+    while (loop.RunOnce()) {
+    }
+    Log(LogSeverity::kInfo, "process", "stopped");
+    return 0;
+  } catch (const std::exception& error) {
+    Log(LogSeverity::kError, "process", "failed", {{"error", error.what()}});
+    return 1;
+  }
+}
+
+}  // namespace cactuscross
--- /dev/null
+++ b/src/shell/flow/server_probe.cc
@@ -0,0 +1,61 @@
+#include "src/shell/flow/server_probe.h"
+
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <utility>
+
+#include "src/shell/socket_address.h"
+
+namespace cactuscross {
+namespace {
+
+// The server is on this host: a connection takes well under a millisecond.
+constexpr Duration kTimeout{150000};
+
+}  // namespace
+
+void ServerProbe::Begin(TimePoint now) {
+  this->began_at = now;
+  this->at_once = ProbeResult::kNone;
+  this->socket = FileDescriptor(
+      ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  const sockaddr_in address = ToSocketAddress(this->server);
+  if (connect(this->socket.Get(), reinterpret_cast<const sockaddr*>(&address),
+              sizeof(address)) == 0) {
+    this->at_once = ProbeResult::kAccepted;
+  } else if (errno == ECONNREFUSED) {
+    this->at_once = ProbeResult::kRefused;
+  }
+}
+
+void ServerProbe::AppendPollEntries(std::vector<pollfd>& entries) const {
+  if (this->socket.IsOpen()) {
+    entries.push_back({this->socket.Get(), POLLOUT, 0});
+  }
+}
+
+ProbeResult ServerProbe::Continue(TimePoint now) {
+  if (!this->socket.IsOpen()) {
+    return ProbeResult::kNone;
+  }
+  ProbeResult result = std::exchange(this->at_once, ProbeResult::kNone);
+  pollfd entry{this->socket.Get(), POLLOUT, 0};
+  if (result == ProbeResult::kNone && poll(&entry, 1, 0) == 1) {
+    int error = 0;
+    socklen_t size = sizeof(error);
+    getsockopt(this->socket.Get(), SOL_SOCKET, SO_ERROR, &error, &size);
+    result = error == 0              ? ProbeResult::kAccepted
+             : error == ECONNREFUSED ? ProbeResult::kRefused
+                                     : ProbeResult::kSilent;
+  }
+  if (result == ProbeResult::kNone && now - this->began_at >= kTimeout) {
+    result = ProbeResult::kSilent;
+  }
+  if (result != ProbeResult::kNone) {
+    this->socket.Close();
+  }
+  return result;
+}
+
+}  // namespace cactuscross
--- /dev/null
+++ b/src/shell/flow/server_probe.h
@@ -0,0 +1,33 @@
+#ifndef CACTUSCROSS_SRC_SHELL_FLOW_SERVER_PROBE_H_
+#define CACTUSCROSS_SRC_SHELL_FLOW_SERVER_PROBE_H_
+
+// A TCP connection attempt to the backend server: tells a server that is gone
+// from one that is slow.
+
+#include <poll.h>
+
+#include <vector>
+
+#include "cactuscross/flow_agent.h"
+#include "src/shell/system.h"
+
+namespace cactuscross {
+
+class ServerProbe {
+ public:
+  explicit ServerProbe(const Endpoint& server) : server(server) {}
+
+  void Begin(TimePoint now);
+  void AppendPollEntries(std::vector<pollfd>& entries) const;
+  ProbeResult Continue(TimePoint now);
+
+ private:
+  const Endpoint server;
+  FileDescriptor socket;
+  TimePoint began_at;
+  ProbeResult at_once = ProbeResult::kNone;
+};
+
+}  // namespace cactuscross
+
+#endif  // CACTUSCROSS_SRC_SHELL_FLOW_SERVER_PROBE_H_
--- a/src/shell/log.cc
+++ b/src/shell/log.cc
@@ -1,9 +1,11 @@
 #include "src/shell/log.h"
 
+#include <fcntl.h>
 #include <glog/logging.h>
+#include <unistd.h>
 
 #include <array>
-#include <atomic>
+#include <cstdio>
 #include <ctime>
 #include <string>
 
@@ -14,7 +16,11 @@
 
 constexpr std::int64_t kMicrosecondsPerSecond = 1000000;
 
-std::atomic<std::uint32_t> own_node{0};
+// Longer than any line, so that each is written by one call.
+constexpr std::size_t kStdoutBufferBytes = 8192;
+
+// Number or name; written before any other thread starts.
+nlohmann::json own_node;
 
 struct SeverityRow {
   google::LogSeverity glog;
@@ -40,18 +46,30 @@
   return std::string(date.data(), size) + "." + fraction.substr(1) + "Z";
 }
 
-}  // namespace
-
-void InitLogging(std::string_view program, NodeId node) {
+void InitGlog(std::string_view program) {
   static const std::string name(program);
-  own_node = ToNumber(node);
-  FLAGS_logtostderr = true;
   FLAGS_log_prefix = false;
   if (!google::IsGoogleLoggingInitialized()) {
     google::InitGoogleLogging(name.c_str());
   }
 }
 
+}  // namespace
+
+void InitLogging(std::string_view program, NodeId node) {
+  own_node = ToNumber(node);
+  FLAGS_logtostderr = true;
+  InitGlog(program);
+}
+
+void InitLogging(std::string_view program, std::string_view node_name) {
+  own_node = node_name;
+  FLAGS_logtostdout = true;
+  setvbuf(stdout, nullptr, _IOLBF, kStdoutBufferBytes);
+  fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+  InitGlog(program);
+}
+
 void Log(LogSeverity severity,
          std::string_view category,
          std::string_view message,
@@ -63,7 +81,7 @@
   nlohmann::ordered_json line;
   line["time"] = FormatTime(ToNumber(WallClockMicroseconds()));
   line["severity"] = row.name;
-  line["node"] = own_node.load();
+  line["node"] = own_node;
   line["category"] = category;
   line["message"] = message;
   line["fields"] = fields;
--- a/src/shell/system.cc
+++ b/src/shell/system.cc
@@ -63,12 +63,15 @@
   static_cast<void>(!read(this->event.Get(), &count, sizeof(count)));
 }
 
-StopSignal::StopSignal() {
+StopSignal::StopSignal(HangUp hang_up) {
   std::signal(SIGPIPE, SIG_IGN);
   sigset_t set;
   sigemptyset(&set);
   sigaddset(&set, SIGTERM);
   sigaddset(&set, SIGINT);
+  if (hang_up == HangUp::kReloads) {
+    sigaddset(&set, SIGHUP);
+  }
   pthread_sigmask(SIG_BLOCK, &set, nullptr);
   this->signals =
       FileDescriptor(signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
@@ -78,7 +81,7 @@
   signalfd_siginfo info{};
   while (read(this->signals.Get(), &info, sizeof(info)) ==
          static_cast<ssize_t>(sizeof(info))) {
-    this->stopped = true;
+    (info.ssi_signo == SIGHUP ? this->reload : this->stopped) = true;
   }
   return this->stopped;
 }
--- a/src/shell/system.h
+++ b/src/shell/system.h
@@ -57,18 +57,27 @@
   FileDescriptor event;
 };
 
+// What SIGHUP does.
+enum class HangUp : std::uint8_t {
+  kEnds,     // the system's default
+  kReloads,  // see StopSignal::TakeReload()
+};
+
 // SIGTERM and SIGINT as a descriptor. To be made before any other thread, so
 // that all inherit the blocked signals. Ignores SIGPIPE.
 class StopSignal {
  public:
-  StopSignal();
+  explicit StopSignal(HangUp hang_up = HangUp::kEnds);
   // True once one of the signals arrived.
   bool Check();
+  // True once for each SIGHUP that Check() has seen.
+  bool TakeReload() { return std::exchange(this->reload, false); }
   int Get() const { return this->signals.Get(); }
 
  private:
   FileDescriptor signals;
   bool stopped = false;
+  bool reload = false;
 };
 
 }  // namespace cactuscross
--- a/src/shell/udp_socket.cc
+++ b/src/shell/udp_socket.cc
@@ -48,7 +48,9 @@
 };
 
 ReceiveBuffers& Buffers() {
-  thread_local const auto buffers = std::make_unique<ReceiveBuffers>();
+  // Not zeroed: only pages that hold datagrams then take memory.
+  thread_local const std::unique_ptr<ReceiveBuffers> buffers(
+      new ReceiveBuffers);
   return *buffers;
 }
 
