A newer entry for a host supersedes older ones

Trace: 12 servers were asked, 5 to 7 answered; the list still held the entries from before, on the same hosts, and an answer counted for the newest entry only. Ruled out: agents not yet started (they answered within 60 ms).

--- a/src/core/flow/server_table.cc
+++ b/src/core/flow/server_table.cc
@@ -45,7 +45,7 @@
   if (change.removed) {
     if (found != this->entries.end() && found->second.listed &&
         found->second.revision < change.revision) {
-      this->Unlist(now, found->second, change.revision, events);
+      this->Unlist(now, found->second, change.revision, "removed", events);
     }
     return;
   }
@@ -66,9 +66,6 @@
   entry.revision = change.revision;
   entry.listed = true;
   entry.warm_at = now + change.server.cold_for;
-  if (moved) {
-    this->IndexByService();
-  }
   if (!was_listed || moved || phase_before != change.server.phase) {
     FlowEvent event = ServerEvent(was_listed ? FlowEventKind::kServerChanged
                                              : FlowEventKind::kServerListed,
@@ -78,6 +75,31 @@
     event.age = change.server.cold_for;
     events.push_back(std::move(event));
   }
+  if (moved) {
+    this->Supersede(now, entry, events);
+    this->IndexByService();
+  }
+}
+
+void ServerTable::Supersede(TimePoint now,
+                            const ServerEntry& changed,
+                            std::vector<FlowEvent>& events) {
+  const ServerEntry* newest = &changed;
+  for (const auto& [key, entry] : this->entries) {
+    if (entry.server.host == changed.server.host &&
+        entry.revision > newest->revision) {
+      newest = &entry;
+    }
+  }
+  for (auto& [key, entry] : this->entries) {
+    if (entry.server.host != changed.server.host) {
+      continue;
+    }
+    entry.superseded = &entry != newest;
+    if (entry.superseded && entry.listed) {
+      this->Unlist(now, entry, entry.revision, "host_reused", events);
+    }
+  }
 }
 
 void ServerTable::FinishList(TimePoint now,
@@ -87,7 +109,7 @@
   for (auto& [key, entry] : this->entries) {
     if (entry.listed && entry.revision <= revision &&
         std::find(names.begin(), names.end(), key) == names.end()) {
-      this->Unlist(now, entry, revision, events);
+      this->Unlist(now, entry, revision, "not_in_list", events);
     }
   }
 }
@@ -95,11 +117,14 @@
 void ServerTable::Unlist(TimePoint now,
                          ServerEntry& entry,
                          std::uint64_t revision,
+                         std::string_view reason,
                          std::vector<FlowEvent>& events) {
   entry.listed = false;
   entry.unlisted_at = now;
   entry.revision = revision;
-  events.push_back(ServerEvent(FlowEventKind::kServerUnlisted, entry));
+  FlowEvent event = ServerEvent(FlowEventKind::kServerUnlisted, entry);
+  event.reason = reason;
+  events.push_back(std::move(event));
 }
 
 void ServerTable::NoteNotice(TimePoint now,
@@ -169,7 +194,7 @@
                                      std::uint32_t service_tag) {
   ServerEntry* newest = nullptr;
   for (auto& [key, entry] : this->entries) {
-    if (entry.server.host == host &&
+    if (entry.server.host == host && !entry.superseded &&
         ServiceTag(entry.server.service) == service_tag &&
         (newest == nullptr || newest->revision < entry.revision)) {
       newest = &entry;
@@ -187,7 +212,9 @@
 void ServerTable::IndexByService() {
   this->by_service.clear();
   for (const auto& [key, entry] : this->entries) {
-    this->by_service[ToNumber(entry.server.service)].push_back(key);
+    if (!entry.superseded) {
+      this->by_service[ToNumber(entry.server.service)].push_back(key);
+    }
   }
 }
 
--- a/src/core/flow/server_table.h
+++ b/src/core/flow/server_table.h
@@ -19,6 +19,8 @@
   FlowServer server;
   std::uint64_t revision = 0;  // of the store, at its last change
   bool listed = true;
+  // A newer entry describes its host: this server is gone for good.
+  bool superseded = false;
   TimePoint unlisted_at;
   TimePoint warm_at;  // slow until then
 
@@ -70,14 +72,19 @@
 
   Entries& All() { return this->entries; }
   const Entries& All() const { return this->entries; }
-  // Servers of a service, listed or not.
+  // Servers of a service that may hold flows, listed or not.
   const std::vector<ServerKey>& OfService(ServiceId service) const;
 
  private:
   void Unlist(TimePoint now,
               ServerEntry& entry,
               std::uint64_t revision,
+              std::string_view reason,
               std::vector<FlowEvent>& events);
+  // Of entries with one host, only the newest can be alive.
+  void Supersede(TimePoint now,
+                 const ServerEntry& changed,
+                 std::vector<FlowEvent>& events);
   void IndexByService();
 
   Entries entries;
