Store calls run side by side while none is answered

Trace: each waited for the time limit of a connection attempt made before the store's return. Ruled out: reading and decoding (20 ms).

Lists, and watches after a failure, are repeated each 250 ms while earlier calls stay open; the first answer counts.

--- a/include/cactuscross/flow_view.h
+++ b/include/cactuscross/flow_view.h
@@ -78,6 +78,7 @@
   std::uint64_t after_revision = 0;  // kWatch
   Duration wait{0};                  // kWatch: how long the store may wait
   Duration timeout{0};               // of the whole call
+  std::uint32_t generation = 0;      // of the caller, stands in the answer
 };
 
 enum class StoreStatus : std::uint8_t {
@@ -92,6 +93,7 @@
   StoreSubject subject = StoreSubject::kRoutes;
   StoreCallKind kind = StoreCallKind::kList;
   StoreStatus status = StoreStatus::kFailed;
+  std::uint32_t generation = 0;  // of the call
   std::string detail;          // of a failure, for the log
   std::uint64_t revision = 0;  // of the store at the answer
   bool more = false;           // kList: another page follows
--- a/src/core/flow/store_reader.cc
+++ b/src/core/flow/store_reader.cc
@@ -15,9 +15,13 @@
 // Pause after a failed call, doubled up to the most. The store's return must be
 // noticed within a fraction of a second.
 constexpr Duration kFirstRetry{100000};
-constexpr Duration kMostRetry{800000};
+constexpr Duration kMostRetry{400000};
+// Pause between calls that are open side by side, and how many at most: with
+// the time limit of a call, a silent store gets six calls in 1.5 s.
+constexpr Duration kHedgeInterval{250000};
+constexpr std::uint32_t kMostOpenCalls = 6;
 // Steps of the backoff; more would pass kMostRetry.
-constexpr std::uint32_t kMaxDoublings = 3;
+constexpr std::uint32_t kMaxDoublings = 2;
 
 // xorshift64: spreads the retries of processes that failed together.
 std::uint64_t NextRandom(std::uint64_t& state) {
@@ -32,13 +36,30 @@
 StoreReader::StoreReader(StoreSubject subject, std::uint64_t seed)
     : subject(subject), random_state(seed | 1U) {}
 
+bool StoreReader::IsAnsweredAtOnce() const {
+  return this->listing || this->failures > 0;
+}
+
+bool StoreReader::MayCall(TimePoint now) const {
+  if (now < this->next_call_at) {
+    return false;
+  }
+  // A connection attempt that met a silent store is not answered soon after the
+  // store's return, but a new one is.
+  return this->open_calls == 0 ||
+         (this->IsAnsweredAtOnce() && this->open_calls < kMostOpenCalls &&
+          now - this->called_at >= kHedgeInterval);
+}
+
 std::optional<StoreCall> StoreReader::NextCall(TimePoint now) {
-  if (this->call_open || now < this->next_call_at) {
+  if (!this->MayCall(now)) {
     return std::nullopt;
   }
-  this->call_open = true;
+  ++this->open_calls;
+  this->called_at = now;
   StoreCall call;
   call.subject = this->subject;
+  call.generation = this->generation;
   if (this->listing) {
     call.kind = StoreCallKind::kList;
     call.page_after = this->page_after;
@@ -46,32 +67,37 @@
   } else {
     call.kind = StoreCallKind::kWatch;
     call.after_revision = this->watch_revision;
-    call.wait = kWatchWait;
-    call.timeout = kWatchWait + kAnswerTimeout;
+    call.wait = this->IsAnsweredAtOnce() ? Duration{0} : kWatchWait;
+    call.timeout = call.wait + kAnswerTimeout;
   }
   return call;
 }
 
-void StoreReader::NoteAnswer(TimePoint now, const StoreAnswer& answer) {
-  this->call_open = false;
+bool StoreReader::NoteAnswer(TimePoint now, const StoreAnswer& answer) {
+  if (answer.generation != this->generation) {
+    return false;
+  }
+  this->open_calls -= this->open_calls > 0 ? 1 : 0;
   this->finished_list = false;
   if (answer.status == StoreStatus::kHistoryLost) {
+    this->Advance();
     this->listing = true;
     this->page_after.clear();
     this->next_call_at = now;
     this->answered_at = now;
-    return;
+    return true;
   }
   if (answer.status != StoreStatus::kOk) {
     this->Fail(now, answer);
-    return;
+    return true;
   }
+  this->Advance();
   this->failures = 0;
   this->answered_at = now;
   if (!this->listing) {
     this->watch_revision = std::max(this->watch_revision, answer.revision);
     this->next_call_at = now + kGatherPause;
-    return;
+    return true;
   }
   if (this->page_after.empty()) {
     this->list_revision = answer.revision;
@@ -79,7 +105,7 @@
   this->next_call_at = now;
   if (answer.more && !answer.last_key.empty()) {
     this->page_after = answer.last_key;
-    return;
+    return true;
   }
   // Pages are no snapshot: what changed since the first one is watched.
   this->watch_revision = this->list_revision;
@@ -87,6 +113,12 @@
   this->listing = false;
   this->loaded = true;
   this->finished_list = true;
+  return true;
+}
+
+void StoreReader::Advance() {
+  ++this->generation;
+  this->open_calls = 0;
 }
 
 void StoreReader::Fail(TimePoint now, const StoreAnswer& answer) {
--- a/src/core/flow/store_reader.h
+++ b/src/core/flow/store_reader.h
@@ -16,11 +16,13 @@
  public:
   StoreReader(StoreSubject subject, std::uint64_t seed);
 
-  // The next call to make, if one is due and none is open.
+  // The next call to make, if one is due. While the store leaves calls
+  // unanswered, more of them are open side by side: the first answer counts.
   std::optional<StoreCall> NextCall(TimePoint now);
 
-  // Notes how the open call ended.
-  void NoteAnswer(TimePoint now, const StoreAnswer& answer);
+  // Notes how a call ended. False if a later call was answered before: the
+  // answer is then of no use.
+  bool NoteAnswer(TimePoint now, const StoreAnswer& answer);
 
   StoreSubject Subject() const { return this->subject; }
   // True once a whole list was read.
@@ -36,11 +38,19 @@
   TimePoint AnsweredAt() const { return this->answered_at; }
 
  private:
+  // True for lists, and for watches that only test whether the store is back.
+  bool IsAnsweredAtOnce() const;
+  bool MayCall(TimePoint now) const;
+  // Lets go of calls that are still open.
+  void Advance();
   void Fail(TimePoint now, const StoreAnswer& answer);
 
   const StoreSubject subject;
   std::uint64_t random_state;
-  bool call_open = false;
+  std::uint32_t open_calls = 0;
+  // Answers to calls from before are of no use: a list or watch has moved on.
+  std::uint32_t generation = 0;
+  TimePoint called_at;
   bool loaded = false;
   bool listing = true;
   bool finished_list = false;
--- a/src/core/flow/store_view.cc
+++ b/src/core/flow/store_view.cc
@@ -59,7 +59,9 @@
                       std::vector<FlowEvent>& events) {
   StoreReader& reader = this->ReaderOf(answer.subject);
   const bool was_reachable = reader.IsReachable();
-  reader.NoteAnswer(now, answer);
+  if (!reader.NoteAnswer(now, answer)) {
+    return;
+  }
   if (was_reachable != reader.IsReachable()) {
     events.push_back(StoreEvent(was_reachable ? FlowEventKind::kStoreLost
                                               : FlowEventKind::kStoreRegained,
