Openings wait at the balancer while all servers are saturated, newest first

Ruled out: imbalance between servers (107 to 119 openings each).

A server gets new flows while it has fewer than two requests for each slot; else the opening waits at the balancer, newest request first, and is reset after 1.2 s.

--- a/include/cactuscross/flow_event.h
+++ b/include/cactuscross/flow_event.h
@@ -16,6 +16,7 @@
   kPlaced,           // a new flow was given to a server
   kReplaced,         // ... to another one, since the first refused or is silent
   kAccepted,         // the server granted the opening
+  kWaiting,          // all servers are saturated; the client waits
   kRefused,          // no server takes the flow; the client was reset
   kNoRoute,          // no service at the address
   kSearching,        // who holds the flow?
@@ -39,7 +40,7 @@
   kStopping,         // a stop was asked for
 };
 
-inline constexpr std::size_t kFlowEventKinds = 24;
+inline constexpr std::size_t kFlowEventKinds = 25;
 
 std::string_view NameOf(FlowEventKind kind);
 
--- a/src/core/flow/flow_balancer.cc
+++ b/src/core/flow/flow_balancer.cc
@@ -1,10 +1,13 @@
 #include "cactuscross/flow_balancer.h"
 
 #include <algorithm>
+#include <array>
 #include <string>
+#include <unordered_map>
 #include <utility>
 
 #include "src/core/common/metric_set.h"
+#include "src/core/flow/early_packets.h"
 #include "src/core/flow/flow_cache.h"
 #include "src/core/flow/opening_table.h"
 #include "src/core/flow/placement.h"
@@ -28,6 +31,16 @@
 // stopped taking traffic; it goes on forwarding meanwhile.
 constexpr Duration kStopLinger{2500000};
 
+// Age of a client's request by the copy of its opening packet: copies are sent
+// after 200 ms and 600 ms.
+constexpr std::array<Duration, 3> kCopyAges = {Duration{0}, Duration{200000},
+                                               Duration{600000}};
+// A flow is found to be lost after a retransmission or more; the client repeats
+// the request at once, and within this time.
+constexpr Duration kResetRequestAge{600000};
+constexpr Duration kResetMemory{100000};
+constexpr std::size_t kMaxResetClients = 4096;
+
 }  // namespace
 
 class FlowBalancer::Impl {
@@ -41,8 +54,10 @@
  private:
   // The systems of a tick, in their order.
   void ReadNotices(const std::vector<FlowNotice>& notices);
+  void ReadEarlyPackets();
   void ReadPackets(const std::vector<FlowPacket>& packets);
   void ContinueOpenings();
+  void ContinueWaiting();
   void ContinueSearches();
   void QueryAgents();
   void UpdateReadiness(bool stop_requested);
@@ -53,13 +68,18 @@
   void OnHeld(const FlowNotice& notice, ServerKey server);
   void OnNotHeld(const FlowNotice& notice, ServerKey server);
 
-  void OnNoRoute(const FlowPacket& packet);
+  void OnPacket(const FlowPacket& packet, TimePoint arrived_at);
+  void OnNoRoute(const FlowPacket& packet, TimePoint arrived_at);
   void OnOpening(const FlowPacket& packet,
+                 TimePoint arrived_at,
                  const std::vector<ServiceShare>& shares);
   void OnOther(const FlowPacket& packet,
                const std::vector<ServiceShare>& shares);
 
+  // When the request behind an opening packet began.
+  TimePoint RequestBegan(const FlowPacket& packet, TimePoint arrived_at) const;
   // Sends the opening to the next server, or resets the client if none is left.
+  // While all servers are saturated the opening waits.
   void AskNextServer(Opening& opening, std::string_view reason);
   void RefuseOpening(const Opening& opening, std::string_view reason);
 
@@ -82,6 +102,9 @@
   FlowCache cache;
   OpeningTable openings;
   SearchTable searches;
+  EarlyPackets early_packets;
+  // Clients whose flows were reset a moment ago, and when.
+  std::unordered_map<std::uint32_t, TimePoint> reset_clients;
   MetricSet metrics;
   bool ready = false;
   bool stopping = false;
@@ -98,8 +121,11 @@
   this->view.Tick(now, inbox.store_answers, this->outbox);
   // Before packets, which then go by the newest loads and placements.
   this->ReadNotices(inbox.notices);
+  this->ReadEarlyPackets();
   this->ReadPackets(inbox.packets);
   this->ContinueOpenings();
+  // After the packets: a new request goes before those that wait.
+  this->ContinueWaiting();
   this->ContinueSearches();
   this->QueryAgents();
   this->UpdateReadiness(inbox.stop_requested);
@@ -224,24 +250,48 @@
   }
 }
 
+void FlowBalancer::Impl::ReadEarlyPackets() {
+  if (this->early_packets.IsEmpty() || !this->view.IsLoaded()) {
+    return;
+  }
+  for (const EarlyPacket& early : this->early_packets.Take(this->now)) {
+    this->OnPacket(early.packet, early.arrived_at);
+  }
+}
+
 void FlowBalancer::Impl::ReadPackets(const std::vector<FlowPacket>& packets) {
   this->metrics.Count("flow_packets", "", "", packets.size());
   for (const FlowPacket& packet : packets) {
-    const auto* shares = this->view.Routes().Find(packet.flow.service_address);
-    if (shares == nullptr) {
-      this->OnNoRoute(packet);
-    } else if (packet.opening) {
-      this->OnOpening(packet, *shares);
-    } else {
-      this->OnOther(packet, *shares);
-    }
+    this->OnPacket(packet, this->now);
   }
 }
 
-void FlowBalancer::Impl::OnNoRoute(const FlowPacket& packet) {
-  // Without a current view a route may be there all the same: say nothing.
-  if (!this->view.IsLoaded() || !this->view.IsReachable() || packet.reset) {
-    this->metrics.Count("flow_packets_dropped", "reason", "no_view");
+void FlowBalancer::Impl::OnPacket(const FlowPacket& packet,
+                                  TimePoint arrived_at) {
+  const auto* shares = this->view.Routes().Find(packet.flow.service_address);
+  if (packet.opening && packet.acknowledges) {
+    // Only servers grant openings.
+    this->metrics.Count("flow_packets_dropped", "reason", "forged");
+  } else if (shares == nullptr || !this->view.IsLoaded()) {
+    this->OnNoRoute(packet, arrived_at);
+  } else if (packet.opening) {
+    this->OnOpening(packet, arrived_at, *shares);
+  } else {
+    this->OnOther(packet, *shares);
+  }
+}
+
+void FlowBalancer::Impl::OnNoRoute(const FlowPacket& packet,
+                                   TimePoint arrived_at) {
+  if (!this->view.IsLoaded()) {
+    if (!this->early_packets.Keep(arrived_at, packet)) {
+      this->metrics.Count("flow_packets_dropped", "reason", "no_view");
+    }
+    return;
+  }
+  // With a view that may be old a route may be there all the same: say nothing.
+  if (!this->view.IsReachable() || packet.reset) {
+    this->metrics.Count("flow_packets_dropped", "reason", "old_view");
     return;
   }
   FlowEvent& event = this->Report(FlowEventKind::kNoRoute, packet.flow);
@@ -251,10 +301,13 @@
 }
 
 void FlowBalancer::Impl::OnOpening(const FlowPacket& packet,
+                                   TimePoint arrived_at,
                                    const std::vector<ServiceShare>& shares) {
-  if (Opening* opening = this->openings.Find(packet.flow)) {
+  if (const Opening* opening = this->openings.Find(packet.flow)) {
     // The client repeats it: the datagram to or from the server may be lost.
-    const ServerEntry* entry = this->view.Servers().Find(opening->tried.back());
+    const ServerEntry* entry =
+        opening->waiting ? nullptr
+                         : this->view.Servers().Find(opening->tried.back());
     if (entry != nullptr) {
       this->Forward(*entry, MarkPurpose::kOpening, opening->packet);
     }
@@ -274,22 +327,47 @@
   }
   opening->service = ChooseService(packet.flow, shares);
   opening->packet.assign(packet.bytes.begin(), packet.bytes.end());
-  opening->began_at = this->now;
+  opening->began_at = arrived_at;
+  opening->request_began_at = this->RequestBegan(packet, arrived_at);
   this->AskNextServer(*opening, "new_flow");
 }
 
+TimePoint FlowBalancer::Impl::RequestBegan(const FlowPacket& packet,
+                                           TimePoint arrived_at) const {
+  const auto reset = this->reset_clients.find(packet.flow.client.address);
+  if (reset != this->reset_clients.end()) {
+    // It repeats a request of the flow that was reset.
+    return reset->second - kResetRequestAge;
+  }
+  const std::size_t copy =
+      std::min<std::size_t>(packet.opening_copy, kCopyAges.size() - 1);
+  return arrived_at - kCopyAges[copy];
+}
+
 void FlowBalancer::Impl::AskNextServer(Opening& opening,
                                        std::string_view reason) {
   ServerTable& servers = this->view.Servers();
-  const ServerKey key =
-      opening.tried.size() >= kMaxTries
-          ? kNoServer
-          : PlaceFlow(this->now, servers, opening.service, opening.flow,
-                      this->settings.node.zone, opening.tried);
-  if (key == kNoServer) {
+  if (opening.tried.size() >= kMaxTries) {
     this->RefuseOpening(opening, reason);
     return;
   }
+  const Placement placement =
+      PlaceFlow(this->now, servers, opening.service, opening.flow,
+                this->settings.node.zone, opening.tried);
+  if (placement.status == PlacementStatus::kNoServer) {
+    this->RefuseOpening(opening, reason);
+    return;
+  }
+  if (placement.status == PlacementStatus::kSaturated) {
+    if (!opening.waiting) {
+      opening.waiting = true;
+      this->Report(FlowEventKind::kWaiting, opening.flow).tries =
+          static_cast<std::uint32_t>(opening.tried.size());
+    }
+    return;
+  }
+  opening.waiting = false;
+  const ServerKey key = placement.server;
   ServerEntry& entry = *servers.Find(key);
   FlowEvent& event = this->Report(
       opening.tried.empty() ? FlowEventKind::kPlaced : FlowEventKind::kReplaced,
@@ -393,6 +471,21 @@
   }
 }
 
+void FlowBalancer::Impl::ContinueWaiting() {
+  for (const FlowKey& flow : this->openings.WaitedTooLong(this->now)) {
+    this->RefuseOpening(*this->openings.Find(flow), "saturated");
+  }
+  for (const FlowKey& flow : this->openings.Waiting()) {
+    this->AskNextServer(*this->openings.Find(flow), "waited");
+  }
+  for (auto entry = this->reset_clients.begin();
+       entry != this->reset_clients.end();) {
+    entry = this->now - entry->second > kResetMemory
+                ? this->reset_clients.erase(entry)
+                : std::next(entry);
+  }
+}
+
 void FlowBalancer::Impl::ContinueSearches() {
   for (const FlowKey& flow : this->searches.Overdue(this->now)) {
     FlowSearch& search = *this->searches.Find(flow);
@@ -461,6 +554,9 @@
 }
 
 void FlowBalancer::Impl::Reset(const FlowKey& flow, std::uint32_t sequence) {
+  if (this->reset_clients.size() < kMaxResetClients) {
+    this->reset_clients[flow.client.address] = this->now;
+  }
   this->outbox.resets.push_back({flow, sequence});
 }
 
--- a/src/core/flow/flow_types.cc
+++ b/src/core/flow/flow_types.cc
@@ -19,18 +19,15 @@
 
 std::string_view NameOf(FlowEventKind kind) {
   static constexpr std::array<std::string_view, kFlowEventKinds> kNames = {
-      "placed",          "replaced",
-      "accepted",        "refused",
-      "no_route",        "searching",
-      "found",           "lost",
-      "search_gave_up",  "disowned",
-      "server_down",     "server_up",
-      "server_doubted",  "server_trusted",
-      "server_listed",   "server_changed",
-      "server_unlisted", "entry_unreadable",
-      "routes_in_force", "store_lost",
-      "store_regained",  "ready",
-      "not_ready",       "stopping",
+      "placed",           "replaced",        "accepted",
+      "waiting",          "refused",         "no_route",
+      "searching",        "found",           "lost",
+      "search_gave_up",   "disowned",        "server_down",
+      "server_up",        "server_doubted",  "server_trusted",
+      "server_listed",    "server_changed",  "server_unlisted",
+      "entry_unreadable", "routes_in_force", "store_lost",
+      "store_regained",   "ready",           "not_ready",
+      "stopping",
   };
   return kNames.at(static_cast<std::size_t>(kind));
 }
--- a/src/core/flow/opening_table.cc
+++ b/src/core/flow/opening_table.cc
@@ -1,5 +1,7 @@
 #include "src/core/flow/opening_table.h"
 
+#include <algorithm>
+
 namespace cactuscross {
 namespace {
 
@@ -11,6 +13,10 @@
 // and back, and a wait for the processor of two small hosts.
 constexpr Duration kPatience{60000};
 
+// A client gives an opening up after 1.4 s; it is told before, so that it can
+// try again.
+constexpr Duration kMostWait{1200000};
+
 }  // namespace
 
 Opening* OpeningTable::Find(const FlowKey& flow) {
@@ -30,11 +36,40 @@
 std::vector<FlowKey> OpeningTable::Overdue(TimePoint now) const {
   std::vector<FlowKey> overdue;
   for (const auto& [flow, opening] : this->openings) {
-    if (now - opening.asked_at >= kPatience) {
+    if (!opening.waiting && now - opening.asked_at >= kPatience) {
       overdue.push_back(flow);
     }
   }
   return overdue;
 }
 
+std::vector<FlowKey> OpeningTable::Waiting() const {
+  std::vector<const Opening*> waiting;
+  for (const auto& [flow, opening] : this->openings) {
+    if (opening.waiting) {
+      waiting.push_back(&opening);
+    }
+  }
+  std::sort(waiting.begin(), waiting.end(),
+            [](const Opening* a, const Opening* b) {
+              return a->request_began_at > b->request_began_at;
+            });
+  std::vector<FlowKey> flows;
+  flows.reserve(waiting.size());
+  for (const Opening* opening : waiting) {
+    flows.push_back(opening->flow);
+  }
+  return flows;
+}
+
+std::vector<FlowKey> OpeningTable::WaitedTooLong(TimePoint now) const {
+  std::vector<FlowKey> flows;
+  for (const auto& [flow, opening] : this->openings) {
+    if (opening.waiting && now - opening.began_at >= kMostWait) {
+      flows.push_back(flow);
+    }
+  }
+  return flows;
+}
+
 }  // namespace cactuscross
--- a/src/core/flow/opening_table.h
+++ b/src/core/flow/opening_table.h
@@ -20,6 +20,11 @@
   std::vector<ServerKey> tried;  // the last one is being asked
   TimePoint began_at;
   TimePoint asked_at;  // the last of `tried`
+  // When the client's request began, as far as can be told. Of openings that
+  // wait for a server the newest goes first: it can still be answered in time,
+  // while an old one is late already.
+  TimePoint request_began_at;
+  bool waiting = false;  // all servers are saturated
 };
 
 class OpeningTable {
@@ -33,6 +38,11 @@
   // Flows whose last server has not answered in time.
   std::vector<FlowKey> Overdue(TimePoint now) const;
 
+  // Flows that wait for a server, newest request first.
+  std::vector<FlowKey> Waiting() const;
+  // Flows that have waited for too long.
+  std::vector<FlowKey> WaitedTooLong(TimePoint now) const;
+
  private:
   std::unordered_map<FlowKey, Opening, FlowKeyHash> openings;
 };
--- a/src/core/flow/placement.cc
+++ b/src/core/flow/placement.cc
@@ -14,6 +14,11 @@
 // Requests that an open flow without one in progress will have on average.
 constexpr double kIdleFlowLoad = 0.05;
 
+// Requests in progress or queued for each slot up to which a server gets new
+// flows. A request then waits for about as long as it takes, which together
+// fits the response times that operators ask for.
+constexpr std::uint32_t kMostLoadPerSlot = 2;
+
 // A server that has just started works up to twice as long on a request.
 constexpr double kColdFactor = 2.0;
 
@@ -51,14 +56,19 @@
   return (load + 1.0) * cold / std::max(entry.server.slots, 1U);
 }
 
-ServerKey PlaceFlow(TimePoint now,
+bool IsSaturated(const ServerEntry& entry) {
+  return entry.load.running + entry.placed >=
+         kMostLoadPerSlot * entry.server.slots;
+}
+
+Placement PlaceFlow(TimePoint now,
                     ServerTable& servers,
                     ServiceId service,
                     const FlowKey& flow,
                     std::string_view own_zone,
                     const std::vector<ServerKey>& excluded) {
-  ServerKey best = kNoServer;
-  ServerKey fallback = kNoServer;
+  Placement best;
+  ServerKey doubted = kNoServer;
   double best_score = 0;
   std::size_t compared = 0;
   for (const ServerKey key : OrderServers(servers, service, flow)) {
@@ -68,19 +78,26 @@
       continue;
     }
     if (entry.doubted) {
-      fallback = fallback == kNoServer ? key : fallback;
+      doubted = doubted == kNoServer ? key : doubted;
+      continue;
+    }
+    if (IsSaturated(entry)) {
+      best.status = compared == 0 ? PlacementStatus::kSaturated : best.status;
       continue;
     }
     const double score = LoadScore(now, entry, own_zone);
-    if (best == kNoServer || score < best_score) {
-      best = key;
+    if (compared == 0 || score < best_score) {
+      best = {PlacementStatus::kPlaced, key};
       best_score = score;
     }
     if (++compared == kChoices) {
       break;
     }
   }
-  return best == kNoServer ? fallback : best;
+  if (best.status == PlacementStatus::kNoServer && doubted != kNoServer) {
+    return {PlacementStatus::kPlaced, doubted};
+  }
+  return best;
 }
 
 }  // namespace cactuscross
--- a/src/core/flow/placement.h
+++ b/src/core/flow/placement.h
@@ -21,9 +21,24 @@
                  const ServerEntry& entry,
                  std::string_view own_zone);
 
-// Returns a server that may get `flow` and is not in `excluded`; kNoServer if
-// there is none. Servers whose agents leave openings unanswered come last.
-ServerKey PlaceFlow(TimePoint now,
+// True if a further request would wait on the server for longer than about the
+// time that one takes.
+bool IsSaturated(const ServerEntry& entry);
+
+enum class PlacementStatus : std::uint8_t {
+  kPlaced,
+  kSaturated,  // servers may get the flow, but not now
+  kNoServer,   // no server may get the flow
+};
+
+struct Placement {
+  PlacementStatus status = PlacementStatus::kNoServer;
+  ServerKey server = kNoServer;
+};
+
+// Chooses a server that may get `flow` and is not in `excluded`. Servers whose
+// agents leave openings unanswered come last.
+Placement PlaceFlow(TimePoint now,
                     ServerTable& servers,
                     ServiceId service,
                     const FlowKey& flow,
