A model of what the flow path serves, with scenarios and schedules

tests/support/flow_world plays clients, routers, servers and a store around the real cores, in logical time. It found three faults, each seen red first: - an agent that gave its server up also reset openings that another server had granted meanwhile (SilentServerIsLeft); - a flow whose holder had lost it was not let go while the store was away (HostOfAnotherServiceIsNotUsed); - an agent that was restarted within 3 s of its server's start took its empty table for the whole truth and disowned open flows (flow schedules, seeds 12 and 24). An agent now trusts its table only from the first start on, or once its server was found not to run.

--- a/include/cactuscross/flow_agent.h
+++ b/include/cactuscross/flow_agent.h
@@ -45,10 +45,7 @@
 
 class FlowAgent {
  public:
-  // `started_ms`: Unix time of this process' start, ms.
-  FlowAgent(const FlowAgentSettings& settings,
-            TimePoint now,
-            std::uint64_t started_ms);
+  explicit FlowAgent(const FlowAgentSettings& settings);
   ~FlowAgent();
   FlowAgent(const FlowAgent&) = delete;
   FlowAgent& operator=(const FlowAgent&) = delete;
--- a/include/cactuscross/flow_message.h
+++ b/include/cactuscross/flow_message.h
@@ -34,9 +34,8 @@
   NoticeKind kind = NoticeKind::kLoad;
   std::uint32_t sender = 0;  // IPv4 address, of the datagram
   std::uint32_t service_tag = 0;
-  FlowKey flow;                  // unset in kLoad and kQuery
-  ServerLoad load;               // unset in kQuery
-  std::uint64_t started_ms = 0;  // kQuery: Unix time of the server's start
+  FlowKey flow;     // unset in kLoad and kQuery
+  ServerLoad load;  // unset in kQuery
   // kNotHeld, kWrongService: the packet if the balancer believed that the
   // server holds its flow, to be sent elsewhere, and its acknowledgement.
   Bytes packet;
--- a/include/cactuscross/flow_view.h
+++ b/include/cactuscross/flow_view.h
@@ -94,10 +94,10 @@
   StoreCallKind kind = StoreCallKind::kList;
   StoreStatus status = StoreStatus::kFailed;
   std::uint32_t generation = 0;  // of the call
-  std::string detail;          // of a failure, for the log
-  std::uint64_t revision = 0;  // of the store at the answer
-  bool more = false;           // kList: another page follows
-  std::string last_key;        // kList: of this page
+  std::string detail;            // of a failure, for the log
+  std::uint64_t revision = 0;    // of the store at the answer
+  bool more = false;             // kList: another page follows
+  std::string last_key;          // kList: of this page
   std::vector<ServerChange> servers;
   std::vector<RouteSet> routes;
   // Entries that could not be read, by name; they describe no server.
--- a/src/core/flow/flow_agent.cc
+++ b/src/core/flow/flow_agent.cc
@@ -20,10 +20,6 @@
 constexpr Duration kLoadInterval{100000};
 constexpr Duration kLoadRefresh{500000};
 
-// A server that started at most so long before its agent has no flows from
-// before the agent's start: both start together, by clocks that may differ.
-constexpr std::uint64_t kSameStartMs = 3000;
-
 // Flows that the server has disowned lately are not offered to it again.
 constexpr std::size_t kMaxDisowned = 4096;
 constexpr Duration kDisownedLife{5000000};
@@ -32,14 +28,10 @@
 
 class FlowAgent::Impl {
  public:
-  Impl(const FlowAgentSettings& settings,
-       TimePoint now,
-       std::uint64_t started_ms)
+  explicit Impl(const FlowAgentSettings& settings)
       : settings(settings),
         service(MakeServiceId(settings.service)),
-        started_ms(started_ms),
-        complete(settings.node.first_start),
-        now(now) {}
+        complete(settings.node.first_start) {}
 
   FlowAgentOutbox Tick(TimePoint now, FlowAgentInbox inbox);
   std::vector<MetricSample> Metrics() const;
@@ -69,10 +61,10 @@
 
   const FlowAgentSettings settings;
   const ServiceId service;
-  const std::uint64_t started_ms;
   ServerFlows flows;
   ServerWatch watch;
-  // True if `flows` holds every flow of the server.
+  // True if `flows` holds every flow of the server: it has none from before
+  // this process, or it was found not to run.
   bool complete;
   std::unordered_map<FlowKey, TimePoint, FlowKeyHash> disowned;
   std::unordered_map<std::uint32_t, TimePoint> balancers;  // last heard
@@ -113,10 +105,6 @@
     if (notice.service_tag != ServiceTag(this->service)) {
       continue;
     }
-    if (notice.started_ms + kSameStartMs >= this->started_ms &&
-        notice.started_ms != 0 && !this->flows.HasForgotten()) {
-      this->complete = true;
-    }
     this->outbox.notices.push_back(
         this->MakeNotice(notice.sender, NoticeKind::kLoad));
   }
@@ -257,6 +245,9 @@
 void FlowAgent::Impl::WatchServer(ProbeResult probe) {
   const bool was_down = this->watch.IsDown();
   this->watch.NoteProbe(this->now, probe);
+  if (probe == ProbeResult::kRefused && !this->flows.HasForgotten()) {
+    this->complete = true;
+  }
   if (was_down != this->watch.IsDown()) {
     FlowEvent& event = this->Report(was_down ? FlowEventKind::kServerUp
                                              : FlowEventKind::kServerDown);
@@ -360,10 +351,8 @@
   return samples;
 }
 
-FlowAgent::FlowAgent(const FlowAgentSettings& settings,
-                     TimePoint now,
-                     std::uint64_t started_ms)
-    : impl(std::make_unique<Impl>(settings, now, started_ms)) {}
+FlowAgent::FlowAgent(const FlowAgentSettings& settings)
+    : impl(std::make_unique<Impl>(settings)) {}
 
 FlowAgent::~FlowAgent() = default;
 
--- a/src/core/flow/flow_balancer.cc
+++ b/src/core/flow/flow_balancer.cc
@@ -247,6 +247,9 @@
   if (shares != nullptr && !notice.packet.empty()) {
     this->BeginSearch(notice.flow, *shares, notice.packet,
                       notice.acknowledgement);
+    if (FlowSearch* begun = this->searches.Find(notice.flow)) {
+      begun->holder_denied = true;
+    }
   }
 }
 
@@ -449,8 +452,10 @@
 
 void FlowBalancer::Impl::EndSearch(FlowSearch& search, bool all_answered) {
   const FlowKey flow = search.flow;
-  const bool lost =
-      all_answered && this->view.IsLoaded() && this->view.IsReachable();
+  // While the store is away, a server that is not known here may hold a flow
+  // whose holder was not known either.
+  const bool lost = all_answered && this->view.IsLoaded() &&
+                    (this->view.IsReachable() || search.holder_denied);
   FlowEvent& event = this->Report(
       lost ? FlowEventKind::kLost : FlowEventKind::kSearchGaveUp, flow);
   event.tries = static_cast<std::uint32_t>(search.asked);
@@ -514,7 +519,6 @@
     query.host = entry.server.host;
     query.notice.kind = NoticeKind::kQuery;
     query.notice.service_tag = ServiceTag(entry.server.service);
-    query.notice.started_ms = entry.server.started_ms;
     this->outbox.notices.push_back(std::move(query));
   }
 }
--- a/src/core/flow/search_table.h
+++ b/src/core/flow/search_table.h
@@ -21,6 +21,8 @@
   std::uint32_t last_acknowledgement = 0;  // of the client
   TimePoint began_at;
   TimePoint asked_at;
+  // The server that held the flow has said that it holds it no more.
+  bool holder_denied = false;
 
   bool AllAnswered() const { return this->answered.size() >= this->asked; }
   bool AllAsked() const { return this->asked == this->order.size(); }
--- a/src/core/flow/server_flows.cc
+++ b/src/core/flow/server_flows.cc
@@ -129,7 +129,8 @@
 std::vector<FlowReset> ServerFlows::ResetsOfOpenFlows() const {
   std::vector<FlowReset> resets;
   for (const auto& [key, flow] : this->flows) {
-    if (flow.state != ServerFlowState::kClosing) {
+    // Openings that the client has not confirmed may be open elsewhere.
+    if (flow.state == ServerFlowState::kOpen) {
       resets.push_back({key, flow.acknowledgement});
     }
   }
--- a/src/core/flow/server_watch.cc
+++ b/src/core/flow/server_watch.cc
@@ -62,11 +62,15 @@
 
 bool ServerWatch::TakeProbe(TimePoint now) {
   const bool suspected = this->awaiting && this->SilentFor(now) >= kSilence;
-  if (this->probing || (!suspected && !this->down) ||
-      now - this->probed_at < kProbeInterval) {
+  // The first attempt, at the start, tells whether the server was there before.
+  const bool due =
+      !this->ever_probed ||
+      ((suspected || this->down) && now - this->probed_at >= kProbeInterval);
+  if (this->probing || !due) {
     return false;
   }
   this->probing = true;
+  this->ever_probed = true;
   this->probed_at = now;
   return true;
 }
--- a/src/core/flow/server_watch.h
+++ b/src/core/flow/server_watch.h
@@ -28,6 +28,7 @@
   bool awaiting = false;
   TimePoint awaiting_since;
   bool probing = false;
+  bool ever_probed = false;
   TimePoint probed_at;
   bool down = false;
   bool lost_reported = false;
--- a/src/shell/flow/run_flow_agent.cc
+++ b/src/shell/flow/run_flow_agent.cc
@@ -14,14 +14,10 @@
 // See run_flow_balancer.cc.
 constexpr int kMaxBatches = 8;
 
-constexpr std::uint64_t kMicrosecondsPerMillisecond = 1000;
-
 class AgentLoop {
  public:
   AgentLoop(const FlowAgentSettings& settings, const FlowAdapter& adapter)
-      : agent(settings,
-              MonotonicNow(),
-              ToNumber(WallClockMicroseconds()) / kMicrosecondsPerMillisecond),
+      : agent(settings),
         process(settings.node,
                 adapter,
                 [this] { return this->agent.Metrics(); }),
--- a/src/wire/flow_codec.cc
+++ b/src/wire/flow_codec.cc
@@ -27,7 +27,6 @@
   message.set_running(notice.load.running);
   message.set_open_flows(notice.load.open_flows);
   message.set_down(notice.load.down);
-  message.set_started_ms(notice.started_ms);
   message.set_packet(notice.packet.data(), notice.packet.size());
   message.set_acknowledgement(notice.acknowledgement);
   Bytes bytes(message.ByteSizeLong());
@@ -52,7 +51,6 @@
   notice.flow.service_address = {
       message.service_ip(), static_cast<std::uint16_t>(message.service_port())};
   notice.load = {message.running(), message.open_flows(), message.down()};
-  notice.started_ms = message.started_ms();
   notice.packet.assign(message.packet().begin(), message.packet().end());
   notice.acknowledgement = message.acknowledgement();
   return notice;
--- /dev/null
+++ b/tests/flow/test_flow_schedules.cc
@@ -0,0 +1,151 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+#include <cstdlib>
+#include <string>
+
+#include "tests/support/flow_world.h"
+
+namespace cactuscross::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kSeeds = 60;
+constexpr int kSteps = 8;
+constexpr double kCalmInAim = 0.95;
+
+// A disturbance of the schedules.
+struct Disturbance {
+  const char* name;
+  void (*apply)(FlowWorld& world, Random& random);
+};
+
+std::size_t AnyServer(const FlowWorld& world, Random& random) {
+  return random.Below(world.ServerCount());
+}
+
+constexpr std::array kDisturbances = {
+    Disturbance{"kill_balancer",
+                [](FlowWorld& world, Random& random) {
+                  world.KillBalancer(random.Below(6), milliseconds(800));
+                }},
+    Disturbance{"stop_balancer",
+                [](FlowWorld& world, Random& random) {
+                  world.StopBalancer(random.Below(6));
+                }},
+    Disturbance{"kill_agent",
+                [](FlowWorld& world, Random& random) {
+                  world.KillAgent(AnyServer(world, random), milliseconds(600));
+                }},
+    Disturbance{"restart_server",
+                [](FlowWorld& world, Random& random) {
+                  const std::size_t index = AnyServer(world, random);
+                  world.CrashServer(index, random.Chance(0.5));
+                  world.GetLink().Schedule(
+                      random.Between(milliseconds(50), milliseconds(2000)),
+                      [&world, index] { world.RestartServer(index); });
+                }},
+    Disturbance{"drain_and_back",
+                [](FlowWorld& world, Random& random) {
+                  const std::size_t index = AnyServer(world, random);
+                  world.DrainServer(index);
+                  world.GetLink().Schedule(seconds(2), [&world, index] {
+                    world.CrashServer(index, false);
+                    world.RestartServer(index);
+                  });
+                }},
+    Disturbance{"store_down",
+                [](FlowWorld& world, Random& random) {
+                  world.SetStoreDown(true, random.Chance(0.5));
+                  world.GetLink().Schedule(
+                      random.Between(milliseconds(500), milliseconds(4000)),
+                      [&world] { world.SetStoreDown(false, false); });
+                }},
+    Disturbance{
+        "history",
+        [](FlowWorld& world, Random& /*random*/) { world.DropStoreHistory(); }},
+    Disturbance{"entry_hidden",
+                [](FlowWorld& world, Random& random) {
+                  const std::size_t index = AnyServer(world, random);
+                  world.HideEntry(index, true);
+                  world.GetLink().Schedule(seconds(1), [&world, index] {
+                    world.HideEntry(index, false);
+                  });
+                }},
+    Disturbance{"lossy_link",
+                [](FlowWorld& world, Random& random) {
+                  LinkFaults faults;
+                  faults.loss = 0.02;
+                  faults.doubling = 0.02;
+                  faults.jitter =
+                      random.Between(milliseconds(0), milliseconds(3));
+                  world.GetLink().SetFaults(faults);
+                  world.GetLink().Schedule(seconds(2), [&world] {
+                    world.GetLink().SetFaults(LinkFaults());
+                  });
+                }},
+    Disturbance{"power",
+                [](FlowWorld& world, Random& random) {
+                  world.PowerOffAll(milliseconds(900), random.Chance(0.5));
+                }},
+};
+
+std::string RunSchedule(std::uint64_t seed) {
+  FlowWorld world(seed, WorkshopShape(0.8));
+  Random random(seed * 7919 + 1);
+  std::string story = "seed " + std::to_string(seed) + ":";
+  std::vector<std::string> violations;
+  const auto collect = [&violations](const FlowTotals& totals) {
+    violations.insert(violations.end(), totals.violations.begin(),
+                      totals.violations.end());
+  };
+  for (int step = 0; step < kSteps; ++step) {
+    const Disturbance& disturbance =
+        kDisturbances.at(random.Below(kDisturbances.size()));
+    story += std::string(" ") + disturbance.name;
+    disturbance.apply(world, random);
+    collect(world.Run(random.Between(milliseconds(100), milliseconds(2500))));
+  }
+  collect(world.Run(seconds(8)));
+  const FlowTotals calm = world.Run(seconds(4));
+  collect(calm);
+  if (!violations.empty()) {
+    return story + "; " + violations.front() + " and " +
+           std::to_string(violations.size() - 1) + " more";
+  }
+  if (calm.InAimShare() < kCalmInAim) {
+    return story + "; calm again, but only " +
+           std::to_string(calm.InAimShare()) + " in time";
+  }
+  return {};
+}
+
+class FlowSchedulesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FlowSchedulesTest);
+  CPPUNIT_TEST(NoRuleIsBroken);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // CACTUSCROSS_FLOW_SEED plays one seed, CACTUSCROSS_FLOW_SEEDS so many.
+  void NoRuleIsBroken() {
+    const char* one = std::getenv("CACTUSCROSS_FLOW_SEED");
+    const char* many = std::getenv("CACTUSCROSS_FLOW_SEEDS");
+    const std::uint64_t first = one != nullptr ? std::stoull(one) : 1;
+    const std::uint64_t count = one != nullptr    ? 1
+                                : many != nullptr ? std::stoull(many)
+                                                  : kSeeds;
+    std::string failures;
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+      const std::string failure = RunSchedule(seed);
+      failures += failure.empty() ? "" : failure + "\n";
+    }
+    CPPUNIT_ASSERT_MESSAGE(failures, failures.empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FlowSchedulesTest);
+
+}  // namespace
+}  // namespace cactuscross::testing
--- /dev/null
+++ b/tests/flow/test_flow_world.cc
@@ -0,0 +1,203 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+#include "tests/support/flow_world.h"
+
+namespace cactuscross::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kSeed = 1;
+
+std::string Describe(const FlowTotals& totals) {
+  std::string text = "asked " + std::to_string(totals.asked) + ", in aim " +
+                     std::to_string(totals.in_aim) + ", late " +
+                     std::to_string(totals.late) + ", failed " +
+                     std::to_string(totals.failed) + ", shed " +
+                     std::to_string(totals.shed);
+  for (const std::string& violation : totals.violations) {
+    text += "; " + violation;
+  }
+  return text;
+}
+
+// No rule is broken, and at least `in_aim` of the requests met their aim.
+void CheckServed(const FlowTotals& totals, double in_aim, double served) {
+  CPPUNIT_ASSERT_MESSAGE(Describe(totals), totals.violations.empty());
+  CPPUNIT_ASSERT_MESSAGE(Describe(totals), totals.InAimShare() >= in_aim);
+  CPPUNIT_ASSERT_MESSAGE(Describe(totals), totals.ServedShare() >= served);
+}
+
+class FlowWorldTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FlowWorldTest);
+  CPPUNIT_TEST(CalmDayIsServed);
+  CPPUNIT_TEST(BalancersComeAndGo);
+  CPPUNIT_TEST(StoppedBalancerBreaksNoFlow);
+  CPPUNIT_TEST(AgentRestartKeepsFlows);
+  CPPUNIT_TEST(CrashedServerIsLeftAtOnce);
+  CPPUNIT_TEST(SilentServerIsLeft);
+  CPPUNIT_TEST(ServerRestartsUnderItsName);
+  CPPUNIT_TEST(LeavingServerGetsNoNewFlows);
+  CPPUNIT_TEST(HostOfAnotherServiceIsNotUsed);
+  CPPUNIT_TEST(StoreOutageChangesNothing);
+  CPPUNIT_TEST(LostHistoryIsReadAgain);
+  CPPUNIT_TEST(LossOfPowerWithOldEntries);
+  CPPUNIT_TEST(LossOfPowerWithSilentStore);
+  CPPUNIT_TEST(RemovedRouteIsRefused);
+  CPPUNIT_TEST(SlowServerIsRelieved);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void CalmDayIsServed() {
+    FlowWorld world(kSeed, WorkshopShape(1.0));
+    CPPUNIT_ASSERT(world.AllReady());
+    CheckServed(world.Run(seconds(10)), 0.97, 0.99);
+  }
+
+  // Routers spread flows anew whenever a balancer comes or goes.
+  void BalancersComeAndGo() {
+    FlowWorld world(kSeed, WorkshopShape(1.0));
+    world.Run(seconds(2));
+    world.KillBalancer(0, seconds(2));
+    CheckServed(world.Run(seconds(4)), 0.85, 0.99);
+    CheckServed(world.Run(seconds(4)), 0.97, 0.99);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, world.Events(FlowEventKind::kLost));
+    CPPUNIT_ASSERT(world.Events(FlowEventKind::kFound) > 0);
+  }
+
+  void StoppedBalancerBreaksNoFlow() {
+    FlowWorld world(kSeed, WorkshopShape(1.0));
+    world.Run(seconds(2));
+    world.StopBalancer(1);
+    CheckServed(world.Run(seconds(6)), 0.97, 0.99);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, world.Events(FlowEventKind::kLost));
+  }
+
+  void AgentRestartKeepsFlows() {
+    FlowWorld world(kSeed, WorkshopShape(1.0));
+    world.Run(seconds(2));
+    world.KillAgent(0, milliseconds(600));
+    CheckServed(world.Run(seconds(4)), 0.9, 0.99);
+    CheckServed(world.Run(seconds(4)), 0.97, 0.99);
+  }
+
+  void CrashedServerIsLeftAtOnce() {
+    FlowWorld world(kSeed, WorkshopShape(1.0));
+    world.Run(seconds(2));
+    world.CrashServer(0, /*silent=*/false);
+    CheckServed(world.Run(seconds(2)), 0.93, 0.97);
+    CheckServed(world.Run(seconds(4)), 0.96, 0.99);
+  }
+
+  void SilentServerIsLeft() {
+    FlowWorld world(kSeed, WorkshopShape(1.0));
+    world.Run(seconds(2));
+    world.CrashServer(0, /*silent=*/true);
+    CheckServed(world.Run(seconds(3)), 0.88, 0.97);
+    CheckServed(world.Run(seconds(4)), 0.96, 0.99);
+  }
+
+  void ServerRestartsUnderItsName() {
+    FlowWorld world(kSeed, WorkshopShape(1.0));
+    world.Run(seconds(2));
+    world.CrashServer(0, /*silent=*/false);
+    world.Run(milliseconds(300));
+    world.RestartServer(0);
+    CheckServed(world.Run(seconds(4)), 0.9, 0.98);
+    CheckServed(world.Run(seconds(4)), 0.97, 0.99);
+  }
+
+  void LeavingServerGetsNoNewFlows() {
+    FlowWorld world(kSeed, WorkshopShape(1.0));
+    world.Run(seconds(2));
+    world.DrainServer(0);
+    const TimePoint told = world.GetLink().Now();
+    CheckServed(world.Run(seconds(4)), 0.97, 0.99);
+    CPPUNIT_ASSERT(world.LastOpeningAt(0) - told < seconds(1));
+  }
+
+  void HostOfAnotherServiceIsNotUsed() {
+    FlowWorld world(kSeed, WorkshopShape(1.0));
+    world.Run(seconds(2));
+    // The store's news of it come late: the agent knows better.
+    world.SetStoreDown(true, /*silent=*/false);
+    world.Run(milliseconds(500));
+    world.CrashServer(0, /*silent=*/false);
+    world.ReuseHost(0, 1);
+    CheckServed(world.Run(seconds(3)), 0.9, 0.97);
+    world.SetStoreDown(false, false);
+    CheckServed(world.Run(seconds(3)), 0.96, 0.99);
+  }
+
+  void StoreOutageChangesNothing() {
+    FlowWorld world(kSeed, WorkshopShape(1.0));
+    world.SetStoreDown(true, /*silent=*/true);
+    CheckServed(world.Run(seconds(10)), 0.97, 0.99);
+  }
+
+  void LostHistoryIsReadAgain() {
+    FlowWorld world(kSeed, WorkshopShape(1.0));
+    world.Run(seconds(1));
+    world.DropStoreHistory();
+    world.DrainServer(0);
+    const TimePoint told = world.GetLink().Now();
+    CheckServed(world.Run(seconds(8)), 0.97, 0.99);
+    CPPUNIT_ASSERT(world.LastOpeningAt(0) - told < seconds(3));
+  }
+
+  // Servers come back under new names while the store still lists the old
+  // ones, on the same hosts.
+  void LossOfPowerWithOldEntries() {
+    FlowWorld world(kSeed, WorkshopShape(0.8));
+    world.Run(seconds(2));
+    world.PowerOffAll(seconds(1), /*new_names=*/true);
+    world.Run(seconds(1));
+    CheckServed(world.Run(seconds(3)), 0.5, 0.95);
+    CheckServed(world.Run(seconds(3)), 0.96, 0.99);
+    CPPUNIT_ASSERT(world.Events(FlowEventKind::kLost) > 0);
+    CPPUNIT_ASSERT(world.Events(FlowEventKind::kSearchGaveUp) <
+                   world.Events(FlowEventKind::kLost) / 5);
+  }
+
+  // Nothing can be served before the store is back; then at once.
+  void LossOfPowerWithSilentStore() {
+    FlowWorld world(kSeed, WorkshopShape(0.8));
+    world.Run(seconds(2));
+    world.SetStoreDown(true, /*silent=*/true);
+    world.PowerOffAll(seconds(1), /*new_names=*/false);
+    world.Run(milliseconds(2250));
+    CPPUNIT_ASSERT(!world.AllReady());
+    world.SetStoreDown(false, false);
+    world.Run(milliseconds(400));
+    CPPUNIT_ASSERT(world.AllReady());
+    CheckServed(world.Run(seconds(4)), 0.6, 0.9);
+  }
+
+  void RemovedRouteIsRefused() {
+    FlowWorld world(kSeed, WorkshopShape(1.0));
+    world.Run(seconds(1));
+    world.RemoveRoute(8443);
+    world.Run(seconds(1));
+    const std::uint64_t before = world.Events(FlowEventKind::kNoRoute);
+    const FlowTotals totals = world.Run(seconds(2));
+    CPPUNIT_ASSERT(totals.violations.empty());
+    CPPUNIT_ASSERT(world.Events(FlowEventKind::kNoRoute) > before);
+    CPPUNIT_ASSERT(totals.failed > 0);
+  }
+
+  void SlowServerIsRelieved() {
+    FlowWorld world(kSeed, WorkshopShape(1.0));
+    world.Run(seconds(2));
+    world.SlowServer(0, 5.0);
+    // Long flows stay; only new ones go elsewhere.
+    CheckServed(world.Run(seconds(6)), 0.8, 0.98);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FlowWorldTest);
+
+}  // namespace
+}  // namespace cactuscross::testing
--- /dev/null
+++ b/tests/support/flow_world.h
@@ -0,0 +1,121 @@
+#ifndef CACTUSCROSS_TESTS_SUPPORT_FLOW_WORLD_H_
+#define CACTUSCROSS_TESTS_SUPPORT_FLOW_WORLD_H_
+
+// A model of what the flow path serves, in logical time and without network:
+// clients, routers, backend servers and a store around real FlowBalancers and
+// FlowAgents. The same seed gives the same run.
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cactuscross/flow_agent.h"
+#include "cactuscross/flow_balancer.h"
+#include "tests/support/link.h"
+
+namespace cactuscross::testing {
+
+struct FlowServiceShape {
+  std::string name;
+  std::uint16_t port = 0;  // of its route
+  std::uint32_t servers = 0;
+  std::uint32_t slots = 7;
+  std::uint32_t queue = 28;  // requests that wait for a slot
+};
+
+// A kind of request.
+struct FlowRequestShape {
+  std::size_t service = 0;
+  bool idempotent = true;
+  bool long_flows = false;  // else a flow for each request
+  double per_second = 0;
+  Duration work{55000};  // mean time on a slot
+  Duration aim{250000};
+  Duration deadline{2500000};
+};
+
+struct FlowWorldShape {
+  std::uint32_t balancers = 6;
+  std::uint32_t zones = 3;
+  std::uint32_t users = 100;  // of long flows, for each kind that has them
+  std::vector<FlowServiceShape> services;
+  std::vector<FlowRequestShape> requests;
+};
+
+// Two services as of the Workshop Association, at `load` times its rates.
+FlowWorldShape WorkshopShape(double load);
+
+// What clients and servers saw.
+struct FlowTotals {
+  std::uint64_t asked = 0;
+  std::uint64_t in_aim = 0;
+  std::uint64_t late = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t runs = 0;
+  std::uint64_t shed = 0;  // refused by a server with a full queue
+  std::vector<std::string> violations;
+
+  double InAimShare() const;
+  double ServedShare() const;
+};
+
+class FlowWorld {
+ public:
+  FlowWorld(std::uint64_t seed, const FlowWorldShape& shape);
+  ~FlowWorld();
+  FlowWorld(const FlowWorld&) = delete;
+  FlowWorld& operator=(const FlowWorld&) = delete;
+
+  // Runs for `time`; returns what was asked in it, answered up to its end or
+  // up to the deadlines after it.
+  FlowTotals Run(Duration time);
+
+  Link& GetLink() { return this->link; }
+  void SetTraffic(bool on) { this->traffic = on; }
+
+  // Processes. A killed one is back after `pause`, with nothing.
+  void KillBalancer(std::size_t index, Duration pause);
+  void KillAgent(std::size_t index, Duration pause);
+  void StopBalancer(std::size_t index);  // SIGTERM; starts again after its end
+  // All processes and servers lose power; back after `pause` under new names.
+  void PowerOffAll(Duration pause, bool new_names);
+
+  // Servers, over all services.
+  std::size_t ServerCount() const;
+  void CrashServer(std::size_t index, bool silent);  // for good
+  void RestartServer(std::size_t index);             // under the same name
+  void DrainServer(std::size_t index);
+  void SlowServer(std::size_t index, double factor);
+  // Another service's server takes over the host.
+  void ReuseHost(std::size_t index, std::size_t service);
+  std::uint32_t RunningOn(std::size_t index) const;
+
+  // Store.
+  void SetStoreDown(bool down, bool silent);
+  void DropStoreHistory();
+  // Removes a server's entry although the server lives; false: back again.
+  void HideEntry(std::size_t index, bool hidden);
+  void PutRoute(std::uint16_t port, const std::string& service);
+  void RemoveRoute(std::uint16_t port);
+  std::uint64_t StoreCalls() const;
+
+  // True if all balancers that run are ready.
+  bool AllReady() const;
+  TimePoint LastOpeningAt(std::size_t server) const;
+  // Events that processes reported, by name, since the start.
+  std::uint64_t Events(FlowEventKind kind) const;
+
+ private:
+  class Impl;
+  Link link;
+  bool traffic = true;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace cactuscross::testing
+
+#endif  // CACTUSCROSS_TESTS_SUPPORT_FLOW_WORLD_H_
