Balancers exchange views; two of them read the store

A balancer that starts while an entry is hidden, or while the store is away, knew less than the others. Balancers now tell each other digests and pull what is newer; two with a view confirmed by the store read it, the rest live by them and read themselves once confirmations stop for 2 s. Servers that the store no longer lists travel too: they may hold flows.

--- a/include/cactuscross/flow_balancer.h
+++ b/include/cactuscross/flow_balancer.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cactuscross/flow_event.h"
+#include "cactuscross/flow_gossip.h"
 #include "cactuscross/flow_message.h"
 #include "cactuscross/flow_settings.h"
 #include "cactuscross/flow_types.h"
@@ -19,6 +20,7 @@
   std::vector<FlowPacket> packets;  // from clients
   std::vector<FlowNotice> notices;  // from agents
   std::vector<StoreAnswer> store_answers;
+  std::vector<GossipMessage> gossip;  // from other balancers
   bool stop_requested = false;
 };
 
@@ -33,6 +35,7 @@
   std::vector<FlowReset> resets;      // to clients
   std::vector<OutgoingNotice> notices;
   std::vector<StoreCall> store_calls;
+  std::vector<OutgoingGossip> gossip;  // to other balancers
   std::vector<FlowEvent> events;
   bool ready = false;     // takes traffic
   bool may_exit = false;  // after a stop: nothing is left to do
@@ -47,6 +50,9 @@
 
   FlowBalancerOutbox Tick(TimePoint now, FlowBalancerInbox inbox);
 
+  // Takes over what may change in the settings while running: the seeds.
+  void SetSeeds(const std::vector<Endpoint>& seeds);
+
   std::vector<MetricSample> Metrics() const;
 
  private:
--- a/src/core/flow/flow_balancer.cc
+++ b/src/core/flow/flow_balancer.cc
@@ -13,6 +13,7 @@
 #include "src/core/flow/placement.h"
 #include "src/core/flow/search_table.h"
 #include "src/core/flow/store_view.h"
+#include "src/core/flow/view_gossip.h"
 
 namespace cactuscross {
 namespace {
@@ -46,9 +47,12 @@
 class FlowBalancer::Impl {
  public:
   Impl(const FlowBalancerSettings& settings, std::uint64_t seed)
-      : settings(settings), view(seed) {}
+      : settings(settings), view(seed), gossip(settings) {}
 
   FlowBalancerOutbox Tick(TimePoint now, FlowBalancerInbox inbox);
+  void SetSeeds(const std::vector<Endpoint>& seeds) {
+    this->gossip.SetSeeds(seeds);
+  }
   std::vector<MetricSample> Metrics() const;
 
  private:
@@ -99,6 +103,7 @@
 
   const FlowBalancerSettings settings;
   StoreView view;
+  ViewGossip gossip;
   FlowCache cache;
   OpeningTable openings;
   SearchTable searches;
@@ -117,7 +122,9 @@
                                             FlowBalancerInbox inbox) {
   this->now = now;
   this->outbox = FlowBalancerOutbox();
-  // First, since all later decisions use the view.
+  // First, since all later decisions use the view. Gossip goes before the
+  // store's answers, which may be newer.
+  this->gossip.Tick(now, inbox.gossip, this->view, this->outbox);
   this->view.Tick(now, inbox.store_answers, this->outbox);
   // Before packets, which then go by the newest loads and placements.
   this->ReadNotices(inbox.notices);
@@ -293,7 +300,7 @@
     return;
   }
   // With a view that may be old a route may be there all the same: say nothing.
-  if (!this->view.IsReachable() || packet.reset) {
+  if (!this->gossip.IsCurrent(this->now, this->view) || packet.reset) {
     this->metrics.Count("flow_packets_dropped", "reason", "old_view");
     return;
   }
@@ -454,8 +461,9 @@
   const FlowKey flow = search.flow;
   // While the store is away, a server that is not known here may hold a flow
   // whose holder was not known either.
-  const bool lost = all_answered && this->view.IsLoaded() &&
-                    (this->view.IsReachable() || search.holder_denied);
+  const bool lost =
+      all_answered && this->view.IsLoaded() &&
+      (this->gossip.IsCurrent(this->now, this->view) || search.holder_denied);
   FlowEvent& event = this->Report(
       lost ? FlowEventKind::kLost : FlowEventKind::kSearchGaveUp, flow);
   event.tries = static_cast<std::uint32_t>(search.asked);
@@ -603,6 +611,10 @@
   return this->impl->Tick(now, std::move(inbox));
 }
 
+void FlowBalancer::SetSeeds(const std::vector<Endpoint>& seeds) {
+  this->impl->SetSeeds(seeds);
+}
+
 std::vector<MetricSample> FlowBalancer::Metrics() const {
   return this->impl->Metrics();
 }
--- /dev/null
+++ b/src/core/flow/gossip_peers.cc
@@ -0,0 +1,145 @@
+#include "src/core/flow/gossip_peers.h"
+
+#include <algorithm>
+
+namespace cactuscross {
+namespace {
+
+// Peers known at once: bounds what a digest round costs in a large fleet.
+constexpr std::size_t kMaxPeers = 64;
+// A peer sends a digest each 400 ms; after three it is taken as gone.
+constexpr Duration kAlive{1300000};
+constexpr Duration kForget{10000000};
+
+// Spreads the duty to read the store over the fleet.
+std::uint64_t ReaderRank(const Endpoint& control) {
+  return EndpointHash()(control);
+}
+
+}  // namespace
+
+GossipPeers::GossipPeers(const Endpoint& own,
+                         const std::vector<Endpoint>& seeds)
+    : own(own) {
+  this->SetSeeds(seeds);
+}
+
+void GossipPeers::SetSeeds(const std::vector<Endpoint>& seeds) {
+  for (GossipPeer& peer : this->peers) {
+    peer.seed = false;
+  }
+  for (const Endpoint& seed : seeds) {
+    if (GossipPeer* peer = this->FindOrAdd(seed)) {
+      peer->seed = true;
+    }
+  }
+}
+
+GossipPeer* GossipPeers::NoteDigest(TimePoint now,
+                                    const GossipMessage& digest) {
+  GossipPeer* peer = this->FindOrAdd(digest.sender);
+  if (peer != nullptr) {
+    peer->heard = true;
+    peer->heard_at = now;
+    peer->mark = digest.mark;
+    peer->confirmed_at = now - digest.age;
+  }
+  for (const Endpoint& other : digest.peers) {
+    this->FindOrAdd(other);
+  }
+  return peer;
+}
+
+void GossipPeers::Expire(TimePoint now) {
+  this->peers.erase(std::remove_if(this->peers.begin(), this->peers.end(),
+                                   [now](const GossipPeer& peer) {
+                                     return !peer.seed && peer.heard &&
+                                            now - peer.heard_at > kForget;
+                                   }),
+                    this->peers.end());
+}
+
+std::vector<Endpoint> GossipPeers::NextTargets(TimePoint now,
+                                               std::size_t most) {
+  std::vector<Endpoint> targets;
+  std::size_t in_turn = 0;
+  for (std::size_t i = 0; i < this->peers.size(); ++i) {
+    GossipPeer& peer = this->peers[(this->turn + i) % this->peers.size()];
+    const bool silent_seed = peer.seed && !IsAlive(now, peer);
+    if (silent_seed) {
+      targets.push_back(peer.control);
+    } else if (in_turn < most) {
+      targets.push_back(peer.control);
+      ++in_turn;
+    }
+  }
+  this->turn += most;
+  return targets;
+}
+
+std::vector<Endpoint> GossipPeers::Known(TimePoint now,
+                                         std::size_t most) const {
+  std::vector<Endpoint> known;
+  for (std::size_t i = 0; i < this->peers.size() && known.size() < most; ++i) {
+    const GossipPeer& peer = this->peers[(this->turn + i) % this->peers.size()];
+    if (IsAlive(now, peer)) {
+      known.push_back(peer.control);
+    }
+  }
+  return known;
+}
+
+std::size_t GossipPeers::RankOfSelf(TimePoint now, Duration most_age) const {
+  const std::uint64_t own_rank = ReaderRank(this->own);
+  return std::count_if(this->peers.begin(), this->peers.end(),
+                       [now, most_age, own_rank](const GossipPeer& peer) {
+                         return IsAlive(now, peer) &&
+                                now - peer.confirmed_at <= most_age &&
+                                ReaderRank(peer.control) < own_rank;
+                       });
+}
+
+TimePoint GossipPeers::ConfirmedAt(TimePoint now) const {
+  TimePoint newest;
+  for (const GossipPeer& peer : this->peers) {
+    if (IsAlive(now, peer)) {
+      newest = std::max(newest, peer.confirmed_at);
+    }
+  }
+  return newest;
+}
+
+bool GossipPeers::HasHeard(const Endpoint& control) const {
+  const GossipPeer* peer = this->Find(control);
+  return peer != nullptr && peer->heard;
+}
+
+const GossipPeer* GossipPeers::Find(const Endpoint& control) const {
+  const auto found = std::find_if(
+      this->peers.begin(), this->peers.end(),
+      [&control](const GossipPeer& peer) { return peer.control == control; });
+  return found == this->peers.end() ? nullptr : &*found;
+}
+
+GossipPeer* GossipPeers::FindOrAdd(const Endpoint& control) {
+  if (control == this->own || control.port == 0) {
+    return nullptr;
+  }
+  for (GossipPeer& peer : this->peers) {
+    if (peer.control == control) {
+      return &peer;
+    }
+  }
+  if (this->peers.size() >= kMaxPeers) {
+    return nullptr;
+  }
+  GossipPeer& added = this->peers.emplace_back();
+  added.control = control;
+  return &added;
+}
+
+bool GossipPeers::IsAlive(TimePoint now, const GossipPeer& peer) {
+  return peer.heard && now - peer.heard_at <= kAlive;
+}
+
+}  // namespace cactuscross
--- a/src/core/flow/route_set.cc
+++ b/src/core/flow/route_set.cc
@@ -23,6 +23,15 @@
   return found == this->routes.end() ? nullptr : &found->second;
 }
 
+std::vector<FlowRoute> ActiveRoutes::All() const {
+  std::vector<FlowRoute> all;
+  all.reserve(this->routes.size());
+  for (const auto& [address, services] : this->routes) {
+    all.push_back({address, services});
+  }
+  return all;
+}
+
 ServiceId ChooseService(const FlowKey& flow,
                         const std::vector<ServiceShare>& shares) {
   std::uint32_t total = 0;
--- a/src/core/flow/route_set.h
+++ b/src/core/flow/route_set.h
@@ -20,6 +20,7 @@
   bool IsLoaded() const { return this->loaded; }
   std::uint64_t Version() const { return this->version; }
   std::size_t Size() const { return this->routes.size(); }
+  std::vector<FlowRoute> All() const;
 
   // Services of the route at `address`; null if there is no such route.
   const std::vector<ServiceShare>* Find(const Endpoint& address) const;
--- a/src/core/flow/server_table.cc
+++ b/src/core/flow/server_table.cc
@@ -43,8 +43,10 @@
   const ServerKey key = MakeServerKey(change.name);
   const auto found = this->entries.find(key);
   if (change.removed) {
-    if (found != this->entries.end() && found->second.listed &&
-        found->second.revision < change.revision) {
+    if (found == this->entries.end()) {
+      this->AddUnlisted(now, change);
+    } else if (found->second.listed &&
+               found->second.revision < change.revision) {
       this->Unlist(now, found->second, change.revision, "removed", events);
     }
     return;
@@ -81,6 +83,42 @@
   }
 }
 
+void ServerTable::AddUnlisted(TimePoint now, const ServerChange& change) {
+  const bool known_host =
+      std::any_of(this->entries.begin(), this->entries.end(),
+                  [&change](const Entries::value_type& item) {
+                    return item.second.server.host == change.server.host;
+                  });
+  if (change.server.host == 0 || known_host) {
+    return;
+  }
+  const ServerKey key = MakeServerKey(change.name);
+  ServerEntry& entry = this->entries[key];
+  entry.key = key;
+  entry.server = change.server;
+  entry.revision = change.revision;
+  entry.listed = false;
+  // The grace for lapsed entries is for those who saw them lapse.
+  entry.unlisted_at = now - kLapseGrace;
+  this->IndexByService();
+}
+
+std::vector<ServerChange> ServerTable::ChangesSince(
+    TimePoint now,
+    std::uint64_t revision) const {
+  std::vector<ServerChange> changes;
+  for (const auto& [key, entry] : this->entries) {
+    if (entry.revision <= revision || entry.superseded) {
+      continue;
+    }
+    ServerChange change{entry.revision, entry.server.name, !entry.listed,
+                        entry.server};
+    change.server.cold_for = std::max(entry.warm_at - now, Duration{0});
+    changes.push_back(std::move(change));
+  }
+  return changes;
+}
+
 void ServerTable::Supersede(TimePoint now,
                             const ServerEntry& changed,
                             std::vector<FlowEvent>& events) {
--- a/src/core/flow/server_table.h
+++ b/src/core/flow/server_table.h
@@ -50,6 +50,11 @@
                   std::uint64_t revision,
                   std::vector<FlowEvent>& events);
 
+  // What changed after `revision`, for another balancer. Servers that are no
+  // longer listed are described too: they may hold flows.
+  std::vector<ServerChange> ChangesSince(TimePoint now,
+                                         std::uint64_t revision) const;
+
   // Takes over a notice of the agent on `notice.sender`.
   void NoteNotice(TimePoint now,
                   const FlowNotice& notice,
@@ -76,6 +81,8 @@
   const std::vector<ServerKey>& OfService(ServiceId service) const;
 
  private:
+  // Adds a server that is no longer listed and was not known.
+  void AddUnlisted(TimePoint now, const ServerChange& change);
   void Unlist(TimePoint now,
               ServerEntry& entry,
               std::uint64_t revision,
--- a/src/core/flow/store_reader.cc
+++ b/src/core/flow/store_reader.cc
@@ -5,9 +5,9 @@
 namespace cactuscross {
 namespace {
 
-// Longest wait of a watch. A connection that has gone silent is noticed after
-// it, well within the bounds on new routes (3 s) and unstable stores (4 s).
-constexpr Duration kWatchWait{4000000};
+// Longest wait of a watch. Each answer confirms the view; a connection that has
+// gone silent is noticed after it, well within the bound on new routes (3 s).
+constexpr Duration kWatchWait{1000000};
 // A slow store takes some 300 ms for an answer.
 constexpr Duration kAnswerTimeout{1500000};
 // Changes that come in quick succession are read by one call.
@@ -116,6 +116,12 @@
   return true;
 }
 
+void StoreReader::StartOver() {
+  this->Advance();
+  this->listing = true;
+  this->page_after.clear();
+}
+
 void StoreReader::Advance() {
   ++this->generation;
   this->open_calls = 0;
--- a/src/core/flow/store_reader.h
+++ b/src/core/flow/store_reader.h
@@ -25,6 +25,13 @@
   bool NoteAnswer(TimePoint now, const StoreAnswer& answer);
 
   StoreSubject Subject() const { return this->subject; }
+  // Revision of the store up to which all changes were read; 0: none.
+  std::uint64_t CompleteRevision() const {
+    return this->loaded ? this->watch_revision : 0;
+  }
+  // Begins anew with a list: changes may have been missed.
+  void StartOver();
+
   // True once a whole list was read.
   bool IsLoaded() const { return this->loaded; }
   // True if the last answer was the last page of a list.
--- a/src/core/flow/store_view.cc
+++ b/src/core/flow/store_view.cc
@@ -35,14 +35,65 @@
   }
   this->servers.Expire(now, kUnlistedRetention);
   for (StoreReader* reader : {&this->route_reader, &this->server_reader}) {
+    if (!this->reading) {
+      break;
+    }
     if (auto call = reader->NextCall(now)) {
       outbox.store_calls.push_back(std::move(*call));
     }
   }
 }
 
-bool StoreView::IsLoaded() const {
-  return this->routes.IsLoaded() && this->server_reader.IsLoaded();
+void StoreView::SetReading(bool reading) {
+  if (reading && !this->reading) {
+    // Peers told what changed meanwhile, but not up to which point of the
+    // history this reader may go on.
+    this->route_reader.StartOver();
+    this->server_reader.StartOver();
+    this->listed.clear();
+  }
+  this->reading = reading;
+}
+
+void StoreView::ApplyRoutes(const RouteSet& routes,
+                            std::string_view source,
+                            std::vector<FlowEvent>& events) {
+  if (!this->routes.Apply(routes)) {
+    return;
+  }
+  FlowEvent event;
+  event.kind = FlowEventKind::kRoutesInForce;
+  event.version = routes.version;
+  event.reason = source;
+  event.tries = static_cast<std::uint32_t>(routes.routes.size());
+  events.push_back(std::move(event));
+}
+
+void StoreView::ApplyPeerServers(TimePoint now,
+                                 const std::vector<ServerChange>& changes,
+                                 std::uint64_t after_revision,
+                                 std::uint64_t revision,
+                                 std::vector<FlowEvent>& events) {
+  for (const ServerChange& change : changes) {
+    this->servers.Apply(now, change, events);
+  }
+  if (after_revision <= this->Mark().servers_revision) {
+    this->peer_revision = std::max(this->peer_revision, revision);
+  }
+}
+
+ViewMark StoreView::Mark() const {
+  ViewMark mark;
+  mark.routes_version = this->routes.Version();
+  mark.servers_revision =
+      std::max(this->server_reader.CompleteRevision(), this->peer_revision);
+  mark.loaded = this->routes.IsLoaded() && mark.servers_revision > 0;
+  return mark;
+}
+
+TimePoint StoreView::ConfirmedAt() const {
+  return std::min(this->route_reader.AnsweredAt(),
+                  this->server_reader.AnsweredAt());
 }
 
 bool StoreView::IsReachable() const {
@@ -75,13 +126,7 @@
     events.push_back(std::move(event));
   }
   for (const RouteSet& routes : answer.routes) {
-    if (this->routes.Apply(routes)) {
-      FlowEvent event;
-      event.kind = FlowEventKind::kRoutesInForce;
-      event.version = routes.version;
-      event.tries = static_cast<std::uint32_t>(routes.routes.size());
-      events.push_back(std::move(event));
-    }
+    this->ApplyRoutes(routes, "store", events);
   }
   if (answer.subject == StoreSubject::kServers &&
       answer.status == StoreStatus::kOk) {
--- a/src/core/flow/store_view.h
+++ b/src/core/flow/store_view.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "cactuscross/flow_balancer.h"
+#include "cactuscross/flow_gossip.h"
 #include "src/core/flow/route_set.h"
 #include "src/core/flow/server_table.h"
 #include "src/core/flow/store_reader.h"
@@ -21,8 +22,28 @@
             const std::vector<StoreAnswer>& answers,
             FlowBalancerOutbox& outbox);
 
-  // True once both subjects were read whole.
-  bool IsLoaded() const;
+  // Whether this process reads the store; else it lives by its peers.
+  void SetReading(bool reading);
+  bool IsReading() const { return this->reading; }
+
+  // Takes over routes if they are newer. `source`: for the log.
+  void ApplyRoutes(const RouteSet& routes,
+                   std::string_view source,
+                   std::vector<FlowEvent>& events);
+  // Takes over what a peer knows: all changes after `after_revision` up to
+  // `revision`, or everything if `after_revision` is 0.
+  void ApplyPeerServers(TimePoint now,
+                        const std::vector<ServerChange>& changes,
+                        std::uint64_t after_revision,
+                        std::uint64_t revision,
+                        std::vector<FlowEvent>& events);
+
+  // True once both subjects are known whole.
+  bool IsLoaded() const { return this->Mark().loaded; }
+  // How much is known.
+  ViewMark Mark() const;
+  // Last time that the store confirmed both subjects to this process.
+  TimePoint ConfirmedAt() const;
   // True while the store answers both subjects.
   bool IsReachable() const;
 
@@ -44,6 +65,8 @@
   StoreReader route_reader;
   StoreReader server_reader;
   std::vector<ServerKey> listed;  // by the list that is being read
+  bool reading = true;
+  std::uint64_t peer_revision = 0;  // servers are known up to it from peers
 };
 
 }  // namespace cactuscross
--- a/src/shell/flow/flow_process.h
+++ b/src/shell/flow/flow_process.h
@@ -47,6 +47,9 @@
   void SendPackets(const UdpSocket& socket, std::vector<FlowForward> forwards);
   void SendResets(const UdpSocket& socket,
                   const std::vector<FlowReset>& resets);
+  void Send(const UdpSocket& socket,
+            const std::vector<OutgoingDatagram>& datagrams);
+  void NoteUndecodable() { ++this->undecodable; }
   void SendNotices(const std::vector<OutgoingNotice>& notices);
 
   bool StopRequested() { return this->stop_signal.Check(); }
@@ -58,8 +61,6 @@
 
  private:
   HttpReply Answer(std::string_view path) const;
-  void Send(const UdpSocket& socket,
-            const std::vector<OutgoingDatagram>& datagrams);
 
   const FlowNodeSettings settings;
   const FlowAdapter& adapter;
--- a/src/shell/flow/run_flow_balancer.cc
+++ b/src/shell/flow/run_flow_balancer.cc
@@ -1,10 +1,12 @@
 #include "src/shell/flow/run_flow_balancer.h"
 
 #include <exception>
+#include <optional>
 #include <utility>
 
 #include "src/shell/flow/flow_process.h"
 #include "src/shell/log.h"
+#include "src/wire/flow_codec.h"
 
 namespace cactuscross {
 namespace {
@@ -20,12 +22,18 @@
         process(settings.node,
                 adapter,
                 [this] { return this->balancer.Metrics(); }),
+        control(settings.control.port == 0
+                    ? std::nullopt
+                    : std::optional<UdpSocket>(OpenSocket(settings.control))),
         store(adapter.open_store(settings.store)) {}
 
   // Returns whether the process goes on.
   bool RunOnce() {
     std::vector<pollfd> entries;
     this->store->AppendPollEntries(entries);
+    if (this->control) {
+      entries.push_back({this->control->Get(), POLLIN, 0});
+    }
     this->process.Wait(entries);
     for (int batch = 0; batch < kMaxBatches; ++batch) {
       if (!this->TickOnce()) {
@@ -43,6 +51,7 @@
     FlowBalancerInbox inbox;
     inbox.notices = this->process.ReceiveNotices();
     inbox.store_answers = this->store->Continue(now);
+    inbox.gossip = this->ReceiveGossip();
     inbox.stop_requested = this->process.StopRequested();
     // Last, since the packets point into the buffers of Receive().
     inbox.packets = this->process.ReceivePackets(this->process.Data(), false);
@@ -52,6 +61,7 @@
     this->process.SendPackets(this->process.Data(), std::move(outbox.forwards));
     this->process.SendResets(this->process.Data(), outbox.resets);
     this->process.SendNotices(outbox.notices);
+    this->SendGossip(outbox.gossip);
     for (const StoreCall& call : outbox.store_calls) {
       this->store->Begin(now, call);
     }
@@ -61,8 +71,37 @@
     return more;
   }
 
+  std::vector<GossipMessage> ReceiveGossip() {
+    std::vector<GossipMessage> messages;
+    if (!this->control) {
+      return messages;
+    }
+    for (const ReceivedDatagram& datagram : this->control->Receive()) {
+      auto message = DecodeFlowGossip(datagram.bytes, datagram.source);
+      if (message) {
+        messages.push_back(std::move(*message));
+      } else {
+        this->process.NoteUndecodable();
+      }
+    }
+    return messages;
+  }
+
+  void SendGossip(const std::vector<OutgoingGossip>& gossip) {
+    std::vector<OutgoingDatagram> datagrams;
+    datagrams.reserve(gossip.size());
+    for (const OutgoingGossip& outgoing : gossip) {
+      datagrams.push_back(
+          {outgoing.destination, EncodeFlowGossip(outgoing.message)});
+    }
+    if (this->control) {
+      this->process.Send(*this->control, datagrams);
+    }
+  }
+
   FlowBalancer balancer;
   FlowProcess process;
+  std::optional<UdpSocket> control;
   std::unique_ptr<FlowStore> store;
   bool may_exit = false;
 };
--- a/src/wire/flow_codec.cc
+++ b/src/wire/flow_codec.cc
@@ -1,5 +1,6 @@
 #include "src/wire/flow_codec.h"
 
+#include <algorithm>
 #include <limits>
 
 #include "src/wire/flow.pb.h"
@@ -14,6 +15,75 @@
   return number <= std::numeric_limits<std::uint16_t>::max();
 }
 
+constexpr std::uint64_t kMaxAgeMs = 3600000;
+constexpr std::uint32_t kMaxColdMs = 600000;
+constexpr std::uint32_t kMaxSlots = 65535;
+
+std::uint64_t ToMilliseconds(Duration duration) {
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(
+      0,
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()));
+}
+
+void SetAddress(const Endpoint& endpoint, wire::FlowAddress& address) {
+  address.set_ip(endpoint.address);
+  address.set_port(endpoint.port);
+}
+
+Endpoint ToEndpoint(const wire::FlowAddress& address) {
+  return {address.ip(), static_cast<std::uint16_t>(address.port())};
+}
+
+void SetRoute(const FlowRoute& route, wire::FlowRoute& message) {
+  SetAddress(route.service_address, *message.mutable_address());
+  for (const ServiceShare& share : route.services) {
+    wire::FlowShare& added = *message.add_services();
+    added.set_service(ToNumber(share.service));
+    added.set_weight(share.weight);
+  }
+}
+
+FlowRoute ToRoute(const wire::FlowRoute& message) {
+  FlowRoute route;
+  route.service_address = ToEndpoint(message.address());
+  for (const wire::FlowShare& share : message.services()) {
+    route.services.push_back({ServiceId{share.service()}, share.weight()});
+  }
+  return route;
+}
+
+void SetServer(const ServerChange& change, wire::FlowServer& message) {
+  message.set_revision(change.revision);
+  message.set_name(change.name);
+  message.set_removed(change.removed);
+  message.set_service(ToNumber(change.server.service));
+  message.set_host(change.server.host);
+  message.set_zone(change.server.zone);
+  message.set_slots(change.server.slots);
+  message.set_leaving(change.server.phase == ServerPhase::kLeaving);
+  message.set_cold_ms(
+      static_cast<std::uint32_t>(ToMilliseconds(change.server.cold_for)));
+  message.set_started_ms(change.server.started_ms);
+}
+
+ServerChange ToChange(const wire::FlowServer& message) {
+  ServerChange change;
+  change.revision = message.revision();
+  change.name = message.name();
+  change.removed = message.removed();
+  change.server.name = message.name();
+  change.server.service = ServiceId{message.service()};
+  change.server.host = message.host();
+  change.server.zone = message.zone();
+  change.server.slots = std::clamp(message.slots(), 1U, kMaxSlots);
+  change.server.phase =
+      message.leaving() ? ServerPhase::kLeaving : ServerPhase::kServing;
+  change.server.cold_for =
+      std::chrono::milliseconds(std::min(message.cold_ms(), kMaxColdMs));
+  change.server.started_ms = message.started_ms();
+  return change;
+}
+
 }  // namespace
 
 Bytes EncodeFlowNotice(const FlowNotice& notice) {
@@ -56,4 +126,59 @@
   return notice;
 }
 
+Bytes EncodeFlowGossip(const GossipMessage& message) {
+  wire::FlowGossip encoded;
+  encoded.set_kind(static_cast<std::uint32_t>(message.kind));
+  encoded.set_loaded(message.mark.loaded);
+  encoded.set_routes_version(message.mark.routes_version);
+  encoded.set_servers_revision(message.mark.servers_revision);
+  encoded.set_age_ms(std::min(ToMilliseconds(message.age), kMaxAgeMs));
+  encoded.set_reads_store(message.reads_store);
+  for (const Endpoint& peer : message.peers) {
+    SetAddress(peer, *encoded.add_peers());
+  }
+  encoded.set_part(message.part.index);
+  encoded.set_parts(message.part.count);
+  encoded.set_after_revision(message.after_revision);
+  for (const FlowRoute& route : message.routes) {
+    SetRoute(route, *encoded.add_routes());
+  }
+  for (const ServerChange& change : message.servers) {
+    SetServer(change, *encoded.add_servers());
+  }
+  Bytes bytes(encoded.ByteSizeLong());
+  encoded.SerializeToArray(bytes.data(), static_cast<int>(bytes.size()));
+  return bytes;
+}
+
+std::optional<GossipMessage> DecodeFlowGossip(ByteView bytes,
+                                              const Endpoint& sender) {
+  wire::FlowGossip encoded;
+  if (!encoded.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
+      encoded.kind() < static_cast<std::uint32_t>(GossipKind::kDigest) ||
+      encoded.kind() > static_cast<std::uint32_t>(GossipKind::kServers)) {
+    return std::nullopt;
+  }
+  GossipMessage message;
+  message.kind = static_cast<GossipKind>(encoded.kind());
+  message.sender = sender;
+  message.mark = {encoded.loaded(), encoded.routes_version(),
+                  encoded.servers_revision()};
+  message.age =
+      std::chrono::milliseconds(std::min(encoded.age_ms(), kMaxAgeMs));
+  message.reads_store = encoded.reads_store();
+  for (const wire::FlowAddress& peer : encoded.peers()) {
+    message.peers.push_back(ToEndpoint(peer));
+  }
+  message.part = {encoded.part(), std::max(encoded.parts(), 1U)};
+  message.after_revision = encoded.after_revision();
+  for (const wire::FlowRoute& route : encoded.routes()) {
+    message.routes.push_back(ToRoute(route));
+  }
+  for (const wire::FlowServer& server : encoded.servers()) {
+    message.servers.push_back(ToChange(server));
+  }
+  return message;
+}
+
 }  // namespace cactuscross
--- a/tests/support/flow_world.cc
+++ b/tests/support/flow_world.cc
@@ -287,6 +287,8 @@
   settings.node.name = "b" + std::to_string(index);
   settings.node.zone = "z" + std::to_string(balancer.zone);
   settings.node.data = {balancer.host, 1};
+  settings.control = {balancer.host, 3};
+  settings.seeds = {{kBalancerNet + 1, 3}, {kBalancerNet + 2, 3}};
   balancer.core = std::make_unique<FlowBalancer>(
       settings, this->world.link.GetRandom().Next());
   balancer.ready = false;
@@ -408,6 +410,19 @@
                 });
     }
   }
+  for (OutgoingGossip& outgoing : outbox.gossip) {
+    for (std::size_t i = 0; i < this->balancers.size(); ++i) {
+      if (this->balancers[i].host != outgoing.destination.address) {
+        continue;
+      }
+      link.Send(own, Point{outgoing.destination.address}, Transport::kDatagram,
+                [this, i, sent = outgoing.message] {
+                  FlowBalancerInbox inbox;
+                  inbox.gossip.push_back(sent);
+                  this->TickBalancer(i, std::move(inbox));
+                });
+    }
+  }
   for (const StoreCall& call : outbox.store_calls) {
     this->Call(index, call);
   }
