--- a/src/core/flow/flow_balancer.cc
+++ b/src/core/flow/flow_balancer.cc
@@ -461,9 +461,10 @@
   const FlowKey flow = search.flow;
   // While the store is away, a server that is not known here may hold a flow
   // whose holder was not known either.
-  const bool lost =
-      all_answered && this->view.IsLoaded() &&
-      (this->gossip.IsCurrent(this->now, this->view) || search.holder_denied);
+  const bool view_is_whole = this->view.IsLoaded() &&
+                             this->gossip.IsCurrent(this->now, this->view) &&
+                             this->gossip.IsSettled(this->now);
+  const bool lost = all_answered && (view_is_whole || search.holder_denied);
   FlowEvent& event = this->Report(
       lost ? FlowEventKind::kLost : FlowEventKind::kSearchGaveUp, flow);
   event.tries = static_cast<std::uint32_t>(search.asked);
