--- a/src/core/flow/flow_balancer.cc
+++ b/src/core/flow/flow_balancer.cc
@@ -216,6 +216,7 @@
 
 void FlowBalancer::Impl::OnHeld(const FlowNotice& notice, ServerKey server) {
   this->cache.Put(this->now, notice.flow, server);
+  this->openings.Erase(notice.flow);
   FlowSearch* search = this->searches.Find(notice.flow);
   if (search == nullptr) {
     return;
@@ -414,6 +415,13 @@
     search->last_acknowledgement = packet.acknowledgement;
     return;
   }
+  if (const Opening* opening = this->openings.Find(packet.flow)) {
+    // The client has a grant, though the notice of it did not arrive.
+    if (!opening->tried.empty()) {
+      this->cache.Put(this->now, packet.flow, opening->tried.back());
+    }
+    this->openings.Erase(packet.flow);
+  }
   const ServerKey holder =
       this->cache.Use(this->now, packet.flow, packet.closing || packet.reset);
   if (const ServerEntry* entry = this->view.Servers().Find(holder)) {
