--- a/include/cactuscross/flow_agent.h
+++ b/include/cactuscross/flow_agent.h
@@ -50,7 +50,7 @@
   FlowAgent(const FlowAgent&) = delete;
   FlowAgent& operator=(const FlowAgent&) = delete;
 
-  FlowAgentOutbox Tick(TimePoint now, FlowAgentInbox inbox);
+  FlowAgentOutbox Tick(TimePoint now, const FlowAgentInbox& inbox);
 
   std::vector<MetricSample> Metrics() const;
 
--- a/include/cactuscross/flow_balancer.h
+++ b/include/cactuscross/flow_balancer.h
@@ -48,7 +48,7 @@
   FlowBalancer(const FlowBalancer&) = delete;
   FlowBalancer& operator=(const FlowBalancer&) = delete;
 
-  FlowBalancerOutbox Tick(TimePoint now, FlowBalancerInbox inbox);
+  FlowBalancerOutbox Tick(TimePoint now, const FlowBalancerInbox& inbox);
 
   // Takes over what may change in the settings while running: the seeds.
   void SetSeeds(const std::vector<Endpoint>& seeds);
--- a/src/core/flow/flow_agent.cc
+++ b/src/core/flow/flow_agent.cc
@@ -33,7 +33,7 @@
         service(MakeServiceId(settings.service)),
         complete(settings.node.first_start) {}
 
-  FlowAgentOutbox Tick(TimePoint now, FlowAgentInbox inbox);
+  FlowAgentOutbox Tick(TimePoint now, const FlowAgentInbox& inbox);
   std::vector<MetricSample> Metrics() const;
 
  private:
@@ -75,7 +75,8 @@
   FlowAgentOutbox outbox;
 };
 
-FlowAgentOutbox FlowAgent::Impl::Tick(TimePoint now, FlowAgentInbox inbox) {
+FlowAgentOutbox FlowAgent::Impl::Tick(TimePoint now,
+                                      const FlowAgentInbox& inbox) {
   this->now = now;
   this->outbox = FlowAgentOutbox();
   this->ReadQueries(inbox.notices);
@@ -257,11 +258,11 @@
     event.age = this->watch.SilentFor(this->now);
   }
   if (this->watch.TakeLost()) {
-    for (FlowReset& reset : this->flows.ResetsOfOpenFlows()) {
+    for (const FlowReset& reset : this->flows.ResetsOfOpenFlows()) {
       FlowEvent& event = this->Report(FlowEventKind::kLost);
       event.flow = reset.flow;
       event.reason = "server_down";
-      this->outbox.resets.push_back(std::move(reset));
+      this->outbox.resets.push_back(reset);
     }
     this->flows.Clear();
   }
@@ -356,8 +357,8 @@
 
 FlowAgent::~FlowAgent() = default;
 
-FlowAgentOutbox FlowAgent::Tick(TimePoint now, FlowAgentInbox inbox) {
-  return this->impl->Tick(now, std::move(inbox));
+FlowAgentOutbox FlowAgent::Tick(TimePoint now, const FlowAgentInbox& inbox) {
+  return this->impl->Tick(now, inbox);
 }
 
 std::vector<MetricSample> FlowAgent::Metrics() const {
--- a/src/core/flow/flow_balancer.cc
+++ b/src/core/flow/flow_balancer.cc
@@ -49,7 +49,7 @@
   Impl(const FlowBalancerSettings& settings, std::uint64_t seed)
       : settings(settings), view(seed), gossip(settings) {}
 
-  FlowBalancerOutbox Tick(TimePoint now, FlowBalancerInbox inbox);
+  FlowBalancerOutbox Tick(TimePoint now, const FlowBalancerInbox& inbox);
   void SetSeeds(const std::vector<Endpoint>& seeds) {
     this->gossip.SetSeeds(seeds);
   }
@@ -119,7 +119,7 @@
 };
 
 FlowBalancerOutbox FlowBalancer::Impl::Tick(TimePoint now,
-                                            FlowBalancerInbox inbox) {
+                                            const FlowBalancerInbox& inbox) {
   this->now = now;
   this->outbox = FlowBalancerOutbox();
   // First, since all later decisions use the view. Gossip goes before the
@@ -616,8 +616,9 @@
 
 FlowBalancer::~FlowBalancer() = default;
 
-FlowBalancerOutbox FlowBalancer::Tick(TimePoint now, FlowBalancerInbox inbox) {
-  return this->impl->Tick(now, std::move(inbox));
+FlowBalancerOutbox FlowBalancer::Tick(TimePoint now,
+                                      const FlowBalancerInbox& inbox) {
+  return this->impl->Tick(now, inbox);
 }
 
 void FlowBalancer::SetSeeds(const std::vector<Endpoint>& seeds) {
--- a/src/shell/flow/run_flow_agent.cc
+++ b/src/shell/flow/run_flow_agent.cc
@@ -50,7 +50,7 @@
     inbox.from_server =
         this->process.ReceivePackets(this->outbound, /*from_server=*/true);
     bool more = !inbox.from_server.empty();
-    this->Tick(std::move(inbox));
+    this->Tick(inbox);
 
     inbox = FlowAgentInbox();
     inbox.probe = this->probe.Continue(MonotonicNow());
@@ -58,13 +58,13 @@
     inbox.from_balancers = this->process.ReceivePackets(this->process.Data(),
                                                         /*from_server=*/false);
     more = more || !inbox.from_balancers.empty();
-    this->Tick(std::move(inbox));
+    this->Tick(inbox);
     return more;
   }
 
-  void Tick(FlowAgentInbox inbox) {
+  void Tick(const FlowAgentInbox& inbox) {
     const TimePoint now = MonotonicNow();
-    FlowAgentOutbox outbox = this->agent.Tick(now, std::move(inbox));
+    FlowAgentOutbox outbox = this->agent.Tick(now, inbox);
     this->process.SendPackets(this->outbound, std::move(outbox.to_server));
     this->process.SendPackets(this->process.Data(),
                               std::move(outbox.to_clients));
--- a/src/shell/flow/run_flow_balancer.cc
+++ b/src/shell/flow/run_flow_balancer.cc
@@ -57,7 +57,7 @@
     inbox.packets = this->process.ReceivePackets(this->process.Data(), false);
     const bool more =
         !inbox.packets.empty() || inbox.notices.size() == kReceiveBatch;
-    FlowBalancerOutbox outbox = this->balancer.Tick(now, std::move(inbox));
+    FlowBalancerOutbox outbox = this->balancer.Tick(now, inbox);
     this->process.SendPackets(this->process.Data(), std::move(outbox.forwards));
     this->process.SendResets(this->process.Data(), outbox.resets);
     this->process.SendNotices(outbox.notices);
--- a/tests/support/flow_world.cc
+++ b/tests/support/flow_world.cc
@@ -375,7 +375,7 @@
   }
   Link& link = this->world.link;
   inbox.stop_requested = balancer.stopping;
-  FlowBalancerOutbox outbox = balancer.core->Tick(link.Now(), std::move(inbox));
+  FlowBalancerOutbox outbox = balancer.core->Tick(link.Now(), inbox);
   balancer.ready = outbox.ready;
   const Point own{balancer.host};
   for (FlowForward& forward : outbox.forwards) {
@@ -441,8 +441,7 @@
     return;
   }
   Link& link = this->world.link;
-  const FlowAgentOutbox outbox =
-      server.agent->Tick(link.Now(), std::move(inbox));
+  const FlowAgentOutbox outbox = server.agent->Tick(link.Now(), inbox);
   for (const FlowForward& forward : outbox.to_server) {
     link.Schedule(kOnHost, [this, index, forward] {
       this->AtServer(index, forward.bytes, forward.mark);
