--- a/include/cactuscross/flow_settings.h
+++ b/include/cactuscross/flow_settings.h
@@ -30,7 +30,6 @@
   Endpoint store;
   Endpoint control;             // UDP: other balancers; port 0: none
   std::vector<Endpoint> seeds;  // control addresses of some balancers
-  Duration drain_bound{3000000};
 };
 
 struct FlowAgentSettings {
--- a/src/cli/check_command.cc
+++ b/src/cli/check_command.cc
@@ -20,13 +20,16 @@
     "instead; all errors are listed. Nothing is started.\n\n"
     "A file with 'customer' or 'services' is a contract, one with 'service' "
     "or\n"
-    "'server' the settings of an agent, any other with known keys the "
-    "settings\n"
-    "of a balancer. Several files are also checked against each other.";
+    "'server' the settings of an agent, one with 'store' those of a flow "
+    "balancer,\n"
+    "one with 'outbound' those of a flow agent, any other with known keys the\n"
+    "settings of a balancer. Several files are also checked against each "
+    "other.";
 
 void AddOptions(CommandOptions& options) {
   options.add_options()("kind", po::value<std::string>(),
-                        "what the files are: contract, balancer or agent");
+                        "what the files are: contract, balancer, agent, "
+                        "flow-balancer or flow-agent");
   options.add_options()("fields",
                         "print every key of settings and contracts, with type, "
                         "bounds, unit and default");
@@ -126,6 +129,24 @@
   return CheckSettings(ParseAgentSettings(text, file), file, cross_check);
 }
 
+template <typename Settings>
+std::vector<Error> ErrorsOf(
+    const tl::expected<Settings, std::vector<Error>>& settings) {
+  return settings ? std::vector<Error>() : settings.error();
+}
+
+std::vector<Error> CheckFlowBalancer(const std::string& file,
+                                     const std::string& text,
+                                     CrossCheck& /*cross_check*/) {
+  return ErrorsOf(ParseFlowBalancerSettings(text, file));
+}
+
+std::vector<Error> CheckFlowAgent(const std::string& file,
+                                  const std::string& text,
+                                  CrossCheck& /*cross_check*/) {
+  return ErrorsOf(ParseFlowAgentSettings(text, file));
+}
+
 KindCheck GetKindCheck(FileKind kind) {
   switch (kind) {
     case FileKind::kContract:
@@ -134,6 +155,10 @@
       return &CheckBalancer;
     case FileKind::kAgent:
       return &CheckAgent;
+    case FileKind::kFlowBalancer:
+      return &CheckFlowBalancer;
+    case FileKind::kFlowAgent:
+      return &CheckFlowAgent;
   }
   return nullptr;
 }
@@ -209,7 +234,9 @@
     if (!kind) {
       return Fail(streams,
                   Error{ResultCode::kBadCommandLine,
-                        "--kind: write contract, balancer or agent", "", 0},
+                        "--kind: write contract, balancer, agent, "
+                        "flow-balancer or flow-agent",
+                        "", 0},
                   kExitBadInput);
     }
   }
--- a/src/cli/role_commands.cc
+++ b/src/cli/role_commands.cc
@@ -34,11 +34,12 @@
 
 // Reads the settings, lists all their errors, or runs the process.
 template <typename Settings>
-int RunRole(const CommandValues& values,
-            const CliStreams& streams,
-            tl::expected<Settings, std::vector<Error>> (
-                *parse)(std::string_view text, std::string_view file),
-            int (*run)(const Settings& settings)) {
+int RunRole(
+    const CommandValues& values,
+    const CliStreams& streams,
+    tl::expected<Settings, std::vector<Error>> (*parse)(std::string_view text,
+                                                        std::string_view file),
+    int (*run)(const Settings& settings, const std::string& settings_path)) {
   const std::string file = values["settings"].as<std::string>();
   const auto text = ReadFile(file);
   if (!text) {
@@ -51,15 +52,23 @@
     }
     return kExitBadInput;
   }
-  return run(*settings);
+  return run(*settings, file);
 }
 
 int RunBalancerCommand(const CommandValues& values, const CliStreams& streams) {
-  return RunRole(values, streams, &ParseBalancerSettings, &RunBalancer);
+  return RunRole<BalancerSettings>(
+      values, streams, &ParseBalancerSettings,
+      [](const BalancerSettings& settings, const std::string& /*path*/) {
+        return RunBalancer(settings);
+      });
 }
 
 int RunAgentCommand(const CommandValues& values, const CliStreams& streams) {
-  return RunRole(values, streams, &ParseAgentSettings, &RunAgent);
+  return RunRole<AgentSettings>(
+      values, streams, &ParseAgentSettings,
+      [](const AgentSettings& settings, const std::string& /*path*/) {
+        return RunAgent(settings);
+      });
 }
 
 constexpr char kFlowBalancerDescription[] =
@@ -89,12 +98,14 @@
                         "YAML file with the settings of this process");
 }
 
-int RunFlowBalancerWithAdapter(const FlowBalancerSettings& settings) {
-  return RunFlowBalancer(settings, platform::MakeAdapter());
+int RunFlowBalancerWithAdapter(const FlowBalancerSettings& settings,
+                               const std::string& settings_path) {
+  return RunFlowBalancer(settings, platform::MakeAdapter(), settings_path);
 }
 
-int RunFlowAgentWithAdapter(const FlowAgentSettings& settings) {
-  return RunFlowAgent(settings, platform::MakeAdapter());
+int RunFlowAgentWithAdapter(const FlowAgentSettings& settings,
+                            const std::string& settings_path) {
+  return RunFlowAgent(settings, platform::MakeAdapter(), settings_path);
 }
 
 int RunFlowBalancerCommand(const CommandValues& values,
--- a/src/config/field_description.cc
+++ b/src/config/field_description.cc
@@ -96,6 +96,10 @@
       DescribeEntity<PeerAddress>("Settings: each entry of `seeds`"),
       DescribeEntity<BalancerSettings>("Settings of a balancer only"),
       DescribeEntity<AgentSettings>("Settings of an agent only"),
+      DescribeEntity<FlowNodeSettings>("Flow path: settings of every process"),
+      DescribeEntity<FlowBalancerSettings>(
+          "Flow path: settings of a balancer only"),
+      DescribeEntity<FlowAgentSettings>("Flow path: settings of an agent only"),
       DescribeEntity<Contract>("Contract"),
       DescribeEntity<ContractService>("Contract: each entry of `services`"),
       DescribeEntity<ContractServer>("Contract: each entry of `servers`"),
--- a/src/config/field_table.cc
+++ b/src/config/field_table.cc
@@ -112,10 +112,9 @@
         {"first_start", kOptional, kNoBounds, "",
          "True where the whole system starts for the first time."},
         &FlowNodeSettings::first_start},
-    FieldRow<FlowNodeSettings>{
-        {"flow_max_age_s", kOptional, Bounds{1, 86400}, "s",
-         "Longest life of a flow."},
-        &FlowNodeSettings::flow_max_age},
+    FieldRow<FlowNodeSettings>{{"flow_max_age_s", kOptional, Bounds{1, 86400},
+                                "s", "Longest life of a flow."},
+                               &FlowNodeSettings::flow_max_age},
     FieldRow<FlowNodeSettings>{{"stop_bound_s", kOptional, Bounds{0, 600}, "s",
                                 "Longest time of a graceful shutdown."},
                                &FlowNodeSettings::stop_bound},
@@ -134,10 +133,6 @@
         {"seeds", kOptional, Bounds{0, 64}, "entries",
          "Control addresses of some balancers; the rest is learned from them."},
         &FlowBalancerSettings::seeds},
-    FieldRow<FlowBalancerSettings>{
-        {"drain_bound_ms", kOptional, Bounds{100, 600000}, "ms",
-         "A leaving server gets no new flow later than this."},
-        &FlowBalancerSettings::drain_bound},
 };
 
 constexpr std::array kFlowAgentRows = {
--- a/src/config/file_kind.cc
+++ b/src/config/file_kind.cc
@@ -18,6 +18,15 @@
   return false;
 }
 
+// Keys that stand in one kind of file only and are required there.
+constexpr char kStoreKey[] = "store";
+constexpr char kOutboundKey[] = "outbound";
+
+template <const char* key>
+bool HasKey(const YAML::Node& map) {
+  return static_cast<bool>(map[key]);
+}
+
 struct KindRow {
   FileKind kind;
   std::string_view name;
@@ -26,6 +35,8 @@
 
 // Ordered from the most to the least telling keys.
 constexpr std::array kKinds = {
+    KindRow{FileKind::kFlowBalancer, "flow-balancer", &HasKey<kStoreKey>},
+    KindRow{FileKind::kFlowAgent, "flow-agent", &HasKey<kOutboundKey>},
     KindRow{FileKind::kContract, "contract", &HasKeyOf<Contract>},
     KindRow{FileKind::kAgent, "agent", &HasKeyOf<AgentSettings>},
     KindRow{FileKind::kBalancer, "balancer", &HasKeyOf<BalancerSettings>},
--- a/src/config/file_kind.h
+++ b/src/config/file_kind.h
@@ -13,9 +13,15 @@
 
 namespace cactuscross {
 
-enum class FileKind : std::uint8_t { kContract, kBalancer, kAgent };
-
-// Returns the kind named "contract", "balancer" or "agent".
+enum class FileKind : std::uint8_t {
+  kContract,
+  kBalancer,
+  kAgent,
+  kFlowBalancer,
+  kFlowAgent,
+};
+
+// Returns the kind of that name, see NameOf().
 std::optional<FileKind> FindFileKind(std::string_view name);
 
 std::string_view NameOf(FileKind kind);
--- a/src/core/flow/flow_balancer.cc
+++ b/src/core/flow/flow_balancer.cc
@@ -47,7 +47,9 @@
 class FlowBalancer::Impl {
  public:
   Impl(const FlowBalancerSettings& settings, std::uint64_t seed)
-      : settings(settings), view(seed), gossip(settings) {}
+      : settings(settings),
+        view(seed, settings.node.flow_max_age),
+        gossip(settings) {}
 
   FlowBalancerOutbox Tick(TimePoint now, const FlowBalancerInbox& inbox);
   void SetSeeds(const std::vector<Endpoint>& seeds) {
@@ -560,7 +562,9 @@
   }
   this->outbox.ready = ready;
   this->outbox.may_exit =
-      this->stopping && this->now - this->stop_at >= kStopLinger;
+      this->stopping &&
+      this->now - this->stop_at >=
+          std::min(kStopLinger, this->settings.node.stop_bound / 2);
 }
 
 void FlowBalancer::Impl::Forward(const ServerEntry& entry,
--- a/src/core/flow/store_view.cc
+++ b/src/core/flow/store_view.cc
@@ -5,10 +5,6 @@
 namespace cactuscross {
 namespace {
 
-// Servers that left the list are still asked for their flows for as long as a
-// flow may live (flowMaxS of the platform).
-constexpr Duration kUnlistedRetention{60000000};
-
 FlowEvent StoreEvent(FlowEventKind kind,
                      const StoreAnswer& answer,
                      std::uint32_t failures) {
@@ -23,8 +19,9 @@
 
 }  // namespace
 
-StoreView::StoreView(std::uint64_t seed)
-    : route_reader(StoreSubject::kRoutes, seed),
+StoreView::StoreView(std::uint64_t seed, Duration flow_max_age)
+    : flow_max_age(flow_max_age),
+      route_reader(StoreSubject::kRoutes, seed),
       server_reader(StoreSubject::kServers, ~seed) {}
 
 void StoreView::Tick(TimePoint now,
@@ -33,7 +30,7 @@
   for (const StoreAnswer& answer : answers) {
     this->Apply(now, answer, outbox.events);
   }
-  this->servers.Expire(now, kUnlistedRetention);
+  this->servers.Expire(now, this->flow_max_age);
   for (StoreReader* reader : {&this->route_reader, &this->server_reader}) {
     if (!this->reading) {
       break;
--- a/src/core/flow/store_view.h
+++ b/src/core/flow/store_view.h
@@ -15,7 +15,9 @@
 
 class StoreView {
  public:
-  explicit StoreView(std::uint64_t seed);
+  // `flow_max_age`: servers that left the list are asked for their flows for as
+  // long as a flow may live.
+  StoreView(std::uint64_t seed, Duration flow_max_age);
 
   // Applies answers, and asks for the next calls.
   void Tick(TimePoint now,
@@ -60,6 +62,7 @@
                     const StoreAnswer& answer,
                     std::vector<FlowEvent>& events);
 
+  const Duration flow_max_age;
   ActiveRoutes routes;
   ServerTable servers;
   StoreReader route_reader;
--- a/src/shell/flow/flow_process.cc
+++ b/src/shell/flow/flow_process.cc
@@ -29,10 +29,12 @@
 
 FlowProcess::FlowProcess(const FlowNodeSettings& settings,
                          const FlowAdapter& adapter,
+                         const std::string& settings_path,
                          MetricsSource metrics)
     : settings(settings),
       adapter(adapter),
       metrics(std::move(metrics)),
+      settings_watch(settings_path),
       stop_signal(HangUp::kReloads),
       log(settings.name),
       data(OpenSocket(settings.data)),
@@ -58,6 +60,10 @@
   poll(entries.data(), entries.size(), kTickMs);
 }
 
+bool FlowProcess::SettingsChanged(TimePoint now) {
+  return this->settings_watch.HasChanged(now, this->stop_signal.TakeReload());
+}
+
 void FlowProcess::Serve(TimePoint now) {
   for (HttpListener& listener : this->listeners) {
     listener.Continue(now);
--- a/src/shell/flow/flow_process.h
+++ b/src/shell/flow/flow_process.h
@@ -15,6 +15,7 @@
 #include "src/shell/flow/flow_adapter.h"
 #include "src/shell/flow/flow_log.h"
 #include "src/shell/flow/http_listener.h"
+#include "src/shell/flow/settings_watch.h"
 #include "src/shell/system.h"
 #include "src/shell/udp_socket.h"
 
@@ -30,6 +31,7 @@
   // Opens every channel. Throws std::exception where one cannot be opened.
   FlowProcess(const FlowNodeSettings& settings,
               const FlowAdapter& adapter,
+              const std::string& settings_path,
               MetricsSource metrics);
 
   // Sleeps until something arrives on the process' own channels or `entries`,
@@ -53,6 +55,15 @@
   void SendNotices(const std::vector<OutgoingNotice>& notices);
 
   bool StopRequested() { return this->stop_signal.Check(); }
+  // True if the settings file was found to differ from what it held before;
+  // SettingsText() then returns its content.
+  bool SettingsChanged(TimePoint now);
+  const std::string& SettingsText() const {
+    return this->settings_watch.Text();
+  }
+  const std::string& SettingsPath() const {
+    return this->settings_watch.Path();
+  }
   void SetReady(bool ready) { this->ready = ready; }
   void WriteLog(TimePoint now, const std::vector<FlowEvent>& events) {
     this->log.Write(now, events);
@@ -65,6 +76,7 @@
   const FlowNodeSettings settings;
   const FlowAdapter& adapter;
   const MetricsSource metrics;
+  SettingsWatch settings_watch;
   StopSignal stop_signal;
   FlowLog log;
   UdpSocket data;
--- a/src/shell/flow/run_flow_agent.cc
+++ b/src/shell/flow/run_flow_agent.cc
@@ -16,10 +16,13 @@
 
 class AgentLoop {
  public:
-  AgentLoop(const FlowAgentSettings& settings, const FlowAdapter& adapter)
+  AgentLoop(const FlowAgentSettings& settings,
+            const FlowAdapter& adapter,
+            const std::string& settings_path)
       : agent(settings),
         process(settings.node,
                 adapter,
+                settings_path,
                 [this] { return this->agent.Metrics(); }),
         outbound(OpenSocket(settings.outbound)),
         probe(settings.server) {
@@ -38,6 +41,10 @@
       }
     }
     this->process.Serve(MonotonicNow());
+    if (this->process.SettingsChanged(MonotonicNow())) {
+      // Nothing that an agent uses may change while it runs.
+      Log(LogSeverity::kInfo, "process", "settings_unchanged");
+    }
     return !this->may_exit;
   }
 
@@ -87,9 +94,10 @@
 }  // namespace
 
 int RunFlowAgent(const FlowAgentSettings& settings,
-                 const FlowAdapter& adapter) {
+                 const FlowAdapter& adapter,
+                 const std::string& settings_path) {
   try {
-    AgentLoop loop(settings, adapter);
+    AgentLoop loop(settings, adapter, settings_path);
     Log(LogSeverity::kInfo, "process", "started",
         {{"role", "flow-agent"},
          {"data", ToString(settings.node.data)},
--- a/src/shell/flow/run_flow_agent.h
+++ b/src/shell/flow/run_flow_agent.h
@@ -1,13 +1,18 @@
 #ifndef CACTUSCROSS_SRC_SHELL_FLOW_RUN_FLOW_AGENT_H_
 #define CACTUSCROSS_SRC_SHELL_FLOW_RUN_FLOW_AGENT_H_
 
+#include <string>
+
 #include "cactuscross/flow_settings.h"
 #include "src/shell/flow/flow_adapter.h"
 
 namespace cactuscross {
 
 // Runs an agent of the flow path until it is stopped. Returns the exit code.
-int RunFlowAgent(const FlowAgentSettings& settings, const FlowAdapter& adapter);
+// `settings_path`: the file that `settings` came from, watched for changes.
+int RunFlowAgent(const FlowAgentSettings& settings,
+                 const FlowAdapter& adapter,
+                 const std::string& settings_path);
 
 }  // namespace cactuscross
 
--- a/src/shell/flow/run_flow_balancer.cc
+++ b/src/shell/flow/run_flow_balancer.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "src/config/settings_parser.h"
 #include "src/shell/flow/flow_process.h"
 #include "src/shell/log.h"
 #include "src/wire/flow_codec.h"
@@ -17,10 +18,13 @@
 
 class BalancerLoop {
  public:
-  BalancerLoop(const FlowBalancerSettings& settings, const FlowAdapter& adapter)
+  BalancerLoop(const FlowBalancerSettings& settings,
+               const FlowAdapter& adapter,
+               const std::string& settings_path)
       : balancer(settings, MakeCoreDependencies().seed),
         process(settings.node,
                 adapter,
+                settings_path,
                 [this] { return this->balancer.Metrics(); }),
         control(settings.control.port == 0
                     ? std::nullopt
@@ -41,10 +45,27 @@
       }
     }
     this->process.Serve(MonotonicNow());
+    if (this->process.SettingsChanged(MonotonicNow())) {
+      this->Reload();
+    }
     return !this->may_exit;
   }
 
  private:
+  // Takes over the seeds; all else holds until the next start.
+  void Reload() {
+    const auto settings = ParseFlowBalancerSettings(
+        this->process.SettingsText(), this->process.SettingsPath());
+    if (!settings) {
+      Log(LogSeverity::kError, "process", "settings_rejected",
+          {{"error", ToString(settings.error().front())}});
+      return;
+    }
+    this->balancer.SetSeeds(settings->seeds);
+    Log(LogSeverity::kInfo, "process", "settings_reloaded",
+        {{"seeds", settings->seeds.size()}});
+  }
+
   // Returns whether there may be more packets.
   bool TickOnce() {
     const TimePoint now = MonotonicNow();
@@ -109,9 +130,10 @@
 }  // namespace
 
 int RunFlowBalancer(const FlowBalancerSettings& settings,
-                    const FlowAdapter& adapter) {
+                    const FlowAdapter& adapter,
+                    const std::string& settings_path) {
   try {
-    BalancerLoop loop(settings, adapter);
+    BalancerLoop loop(settings, adapter, settings_path);
     Log(LogSeverity::kInfo, "process", "started",
         {{"role", "flow-balancer"},
          {"data", ToString(settings.node.data)},
--- /dev/null
+++ b/tests/flow/test_flow_parts.cc
@@ -0,0 +1,351 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+#include "cactuscross/flow_agent.h"
+#include "src/config/file_kind.h"
+#include "src/config/settings_parser.h"
+#include "src/core/flow/opening_table.h"
+#include "src/core/flow/placement.h"
+#include "src/core/flow/route_set.h"
+#include "src/core/flow/store_reader.h"
+#include "src/wire/flow_codec.h"
+
+namespace cactuscross {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr FlowKey kFlow = {{0x64400007, 40001}, {0xC6120001, 443}};
+constexpr std::uint64_t kSeed = 7;
+constexpr TimePoint kStart{seconds(100)};
+
+ServerChange MakeChange(const std::string& name,
+                        std::uint64_t revision,
+                        std::uint32_t host) {
+  ServerChange change;
+  change.name = name;
+  change.revision = revision;
+  change.server.name = name;
+  change.server.service = MakeServiceId("desk");
+  change.server.host = host;
+  change.server.zone = "z0";
+  change.server.slots = 7;
+  return change;
+}
+
+FlowNotice MakeLoad(std::uint32_t host, std::uint32_t running) {
+  FlowNotice notice;
+  notice.sender = host;
+  notice.service_tag = ServiceTag(MakeServiceId("desk"));
+  notice.load.running = running;
+  return notice;
+}
+
+class FlowPartsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FlowPartsTest);
+  CPPUNIT_TEST(VersionsOfRoutesOnlyRise);
+  CPPUNIT_TEST(SharesOfARouteFollowTheWeights);
+  CPPUNIT_TEST(OlderEntriesOfAHostAreSuperseded);
+  CPPUNIT_TEST(LapsedServerIsGoneAfterTheGrace);
+  CPPUNIT_TEST(RestartForgetsTheLoad);
+  CPPUNIT_TEST(LeastLoadedOfThreeIsChosen);
+  CPPUNIT_TEST(SaturatedServersGetNothing);
+  CPPUNIT_TEST(NewestRequestLeavesTheQueueFirst);
+  CPPUNIT_TEST(SilentStoreIsAskedSideBySide);
+  CPPUNIT_TEST(AnswersToOlderCallsAreIgnored);
+  CPPUNIT_TEST(LostHistoryNeedsAList);
+  CPPUNIT_TEST(ReturnedPacketOfAnOpenFlowResetsIt);
+  CPPUNIT_TEST(AgentWithFullKnowledgeAsksNobody);
+  CPPUNIT_TEST(NoticesAndGossipSurviveTheWire);
+  CPPUNIT_TEST(SettingsAreParsed);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void VersionsOfRoutesOnlyRise() {
+    ActiveRoutes routes;
+    RouteSet newer{7, {{kFlow.service_address, {{ServiceId{1}, 1}}}}, {}};
+    CPPUNIT_ASSERT(routes.Apply(newer));
+    CPPUNIT_ASSERT(!routes.Apply(RouteSet{6, {}, {}}));
+    CPPUNIT_ASSERT(!routes.Apply(newer));
+    CPPUNIT_ASSERT(routes.Find(kFlow.service_address) != nullptr);
+    CPPUNIT_ASSERT(routes.Apply(RouteSet{8, {}, {}}));
+    CPPUNIT_ASSERT(routes.Find(kFlow.service_address) == nullptr);
+  }
+
+  void SharesOfARouteFollowTheWeights() {
+    const std::vector<ServiceShare> shares = {{ServiceId{1}, 90},
+                                              {ServiceId{2}, 10}};
+    int second = 0;
+    FlowKey flow = kFlow;
+    for (std::uint16_t port = 1000; port < 11000; ++port) {
+      flow.client.port = port;
+      second += ChooseService(flow, shares) == ServiceId{2} ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(second > 850 && second < 1150);
+    CPPUNIT_ASSERT(ChooseService(kFlow, {}) == kNoService);
+  }
+
+  void OlderEntriesOfAHostAreSuperseded() {
+    std::vector<FlowEvent> events;
+    ServerTable servers;
+    servers.Apply(kStart, MakeChange("new", 9, 1), events);
+    servers.Apply(kStart, MakeChange("old", 5, 1), events);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         servers.OfService(MakeServiceId("desk")).size());
+    CPPUNIT_ASSERT(servers.Find(MakeServerKey("old"))->superseded);
+    CPPUNIT_ASSERT(!servers.Find(MakeServerKey("new"))->superseded);
+  }
+
+  void LapsedServerIsGoneAfterTheGrace() {
+    std::vector<FlowEvent> events;
+    ServerTable servers;
+    servers.Apply(kStart, MakeChange("a", 5, 1), events);
+    ServerChange removed = MakeChange("a", 6, 1);
+    removed.removed = true;
+    servers.Apply(kStart, removed, events);
+    const ServerEntry& entry = *servers.Find(MakeServerKey("a"));
+    CPPUNIT_ASSERT(IsPlaceable(kStart + milliseconds(1900), entry));
+    CPPUNIT_ASSERT(!IsPlaceable(kStart + milliseconds(2100), entry));
+    // It may still hold flows.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         servers.OfService(MakeServiceId("desk")).size());
+  }
+
+  void RestartForgetsTheLoad() {
+    std::vector<FlowEvent> events;
+    ServerTable servers;
+    ServerChange change = MakeChange("a", 5, 1);
+    change.server.started_ms = 1000;
+    servers.Apply(kStart, change, events);
+    servers.NoteNotice(kStart, MakeLoad(1, 20), events);
+    change.revision = 6;
+    servers.Apply(kStart, change, events);
+    CPPUNIT_ASSERT_EQUAL(20U, servers.Find(MakeServerKey("a"))->load.running);
+    change.revision = 7;
+    change.server.started_ms = 2000;
+    servers.Apply(kStart, change, events);
+    CPPUNIT_ASSERT_EQUAL(0U, servers.Find(MakeServerKey("a"))->load.running);
+  }
+
+  void LeastLoadedOfThreeIsChosen() {
+    std::vector<FlowEvent> events;
+    ServerTable servers;
+    for (std::uint32_t host = 1; host <= 3; ++host) {
+      servers.Apply(kStart, MakeChange("s" + std::to_string(host), host, host),
+                    events);
+      servers.NoteNotice(kStart, MakeLoad(host, host == 2 ? 1 : 6), events);
+    }
+    const Placement placement =
+        PlaceFlow(kStart, servers, MakeServiceId("desk"), kFlow, "z0", {});
+    CPPUNIT_ASSERT(PlacementStatus::kPlaced == placement.status);
+    CPPUNIT_ASSERT(MakeServerKey("s2") == placement.server);
+  }
+
+  void SaturatedServersGetNothing() {
+    std::vector<FlowEvent> events;
+    ServerTable servers;
+    servers.Apply(kStart, MakeChange("a", 1, 1), events);
+    servers.NoteNotice(kStart, MakeLoad(1, 14), events);
+    const ServiceId service = MakeServiceId("desk");
+    CPPUNIT_ASSERT(PlacementStatus::kSaturated ==
+                   PlaceFlow(kStart, servers, service, kFlow, "z0", {}).status);
+    servers.NoteNotice(kStart, MakeLoad(1, 13), events);
+    CPPUNIT_ASSERT(PlacementStatus::kPlaced ==
+                   PlaceFlow(kStart, servers, service, kFlow, "z0", {}).status);
+    CPPUNIT_ASSERT(
+        PlacementStatus::kNoServer ==
+        PlaceFlow(kStart, servers, MakeServiceId("other"), kFlow, "z0", {})
+            .status);
+  }
+
+  // Load pattern: all clients come back at once after an outage. What is late
+  // already gives way to requests that can still be answered in time.
+  void NewestRequestLeavesTheQueueFirst() {
+    OpeningTable openings;
+    for (std::uint16_t port = 1; port <= 3; ++port) {
+      FlowKey flow = kFlow;
+      flow.client.port = port;
+      Opening& opening = *openings.Add(flow);
+      opening.waiting = true;
+      opening.began_at = kStart;
+      opening.request_began_at = kStart + milliseconds(port == 2 ? 50 : port);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint16_t{2}, openings.Waiting()[0].client.port);
+    CPPUNIT_ASSERT(openings.WaitedTooLong(kStart + milliseconds(1100)).empty());
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t{3},
+        openings.WaitedTooLong(kStart + milliseconds(1300)).size());
+  }
+
+  void SilentStoreIsAskedSideBySide() {
+    StoreReader reader(StoreSubject::kServers, kSeed);
+    int calls = 0;
+    for (int ms = 0; ms < 1000; ms += 10) {
+      calls += reader.NextCall(kStart + milliseconds(ms)).has_value() ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(4, calls);
+  }
+
+  void AnswersToOlderCallsAreIgnored() {
+    StoreReader reader(StoreSubject::kServers, kSeed);
+    StoreAnswer first = AnswerTo(*reader.NextCall(kStart), 10);
+    StoreAnswer second =
+        AnswerTo(*reader.NextCall(kStart + milliseconds(300)), 20);
+    CPPUNIT_ASSERT(reader.NoteAnswer(kStart, second));
+    CPPUNIT_ASSERT(!reader.NoteAnswer(kStart, first));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{20}, reader.CompleteRevision());
+  }
+
+  void LostHistoryNeedsAList() {
+    StoreReader reader(StoreSubject::kServers, kSeed);
+    reader.NoteAnswer(kStart, AnswerTo(*reader.NextCall(kStart), 10));
+    const auto watch = reader.NextCall(kStart + seconds(1));
+    CPPUNIT_ASSERT(StoreCallKind::kWatch == watch->kind);
+    StoreAnswer lost = AnswerTo(*watch, 0);
+    lost.status = StoreStatus::kHistoryLost;
+    reader.NoteAnswer(kStart + seconds(1), lost);
+    const auto list = reader.NextCall(kStart + seconds(1));
+    CPPUNIT_ASSERT(StoreCallKind::kList == list->kind);
+  }
+
+  void ReturnedPacketOfAnOpenFlowResetsIt() {
+    FlowAgent agent(AgentSettings());
+    FlowPacket packet = MakePacket();
+    packet.opening = true;
+    this->FromBalancer(agent, packet);
+    FlowPacket grant = MakePacket();
+    grant.from_server = true;
+    grant.opening = true;
+    grant.sequence = 500;
+    this->FromServer(agent, grant);
+    packet.opening = false;
+    packet.acknowledgement = 501;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         this->FromBalancer(agent, packet).to_server.size());
+    packet.returned = true;
+    const FlowAgentOutbox outbox = this->FromServer(agent, packet);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox.resets.size());
+    CPPUNIT_ASSERT_EQUAL(501U, outbox.resets[0].sequence);
+  }
+
+  void AgentWithFullKnowledgeAsksNobody() {
+    FlowAgentSettings settings = AgentSettings();
+    FlowAgent restarted(settings);
+    settings.node.first_start = true;
+    FlowAgent first(settings);
+    FlowPacket packet = MakePacket();
+    packet.mark.purpose = MarkPurpose::kSearch;
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t{1}, this->FromBalancer(restarted, packet).to_server.size());
+    const FlowAgentOutbox outbox = this->FromBalancer(first, packet);
+    CPPUNIT_ASSERT(outbox.to_server.empty());
+    CPPUNIT_ASSERT(NoticeKind::kNotHeld == outbox.notices[0].notice.kind);
+    packet.mark.service_tag ^= 1U;
+    CPPUNIT_ASSERT(NoticeKind::kWrongService ==
+                   this->FromBalancer(first, packet).notices[0].notice.kind);
+  }
+
+  void NoticesAndGossipSurviveTheWire() {
+    FlowNotice notice = MakeLoad(1, 5);
+    notice.kind = NoticeKind::kNotHeld;
+    notice.flow = kFlow;
+    notice.packet = {1, 2, 3};
+    notice.acknowledgement = 99;
+    const auto decoded = DecodeFlowNotice(EncodeFlowNotice(notice), 1);
+    CPPUNIT_ASSERT(decoded.has_value());
+    CPPUNIT_ASSERT(decoded->flow == kFlow && decoded->packet == notice.packet);
+    CPPUNIT_ASSERT_EQUAL(5U, decoded->load.running);
+    CPPUNIT_ASSERT_EQUAL(99U, decoded->acknowledgement);
+
+    GossipMessage message;
+    message.kind = GossipKind::kServers;
+    message.mark = {true, 3, 44};
+    message.age = milliseconds(250);
+    message.servers = {MakeChange("a", 41, 9)};
+    message.routes = {{kFlow.service_address, {{ServiceId{8}, 3}}}};
+    const auto gossip =
+        DecodeFlowGossip(EncodeFlowGossip(message), {0x0A010001, 7});
+    CPPUNIT_ASSERT(gossip.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{44}, gossip->mark.servers_revision);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), gossip->servers.at(0).name);
+    CPPUNIT_ASSERT_EQUAL(9U, gossip->servers.at(0).server.host);
+    CPPUNIT_ASSERT_EQUAL(3U, gossip->routes.at(0).services.at(0).weight);
+    CPPUNIT_ASSERT(Duration(milliseconds(250)) == gossip->age);
+    CPPUNIT_ASSERT(!DecodeFlowGossip(Bytes{0xFF, 0xFF}, {}).has_value());
+    CPPUNIT_ASSERT(!DecodeFlowNotice(Bytes{0x08, 0x63}, 1).has_value());
+  }
+
+  void SettingsAreParsed() {
+    constexpr char kText[] = R"(name: "edge-1"
+zone: "Zone A"
+data: "10.1.0.10:8172"
+peer: "10.1.0.10:7720"
+readiness: "10.1.0.10:8167"
+first_start: true
+flow_max_age_s: 60
+stop_bound_s: 6.5
+store: "10.200.1.7:8169"
+seeds: ["10.1.0.10:8166","10.2.0.40:8166"]
+)";
+    const auto settings = ParseFlowBalancerSettings(kText, "f.yaml");
+    CPPUNIT_ASSERT(settings.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("Zone A"), settings->node.zone);
+    CPPUNIT_ASSERT(Duration(6500000) == settings->node.stop_bound);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, settings->seeds.size());
+    CPPUNIT_ASSERT(FileKind::kFlowBalancer == *DetectFileKind(kText));
+    const auto bad = ParseFlowAgentSettings(kText, "f.yaml");
+    CPPUNIT_ASSERT(!bad.has_value());
+    CPPUNIT_ASSERT(ResultCode::kUnknownKey == bad.error()[0].code ||
+                   ResultCode::kMissingKey == bad.error()[0].code);
+  }
+
+ private:
+  static StoreAnswer AnswerTo(const StoreCall& call, std::uint64_t revision) {
+    StoreAnswer answer;
+    answer.subject = call.subject;
+    answer.kind = call.kind;
+    answer.generation = call.generation;
+    answer.status = StoreStatus::kOk;
+    answer.revision = revision;
+    return answer;
+  }
+
+  static FlowAgentSettings AgentSettings() {
+    FlowAgentSettings settings;
+    settings.service = "desk";
+    settings.node.data = {9, 1};
+    settings.server = {9, 2};
+    return settings;
+  }
+
+  static FlowPacket MakePacket() {
+    FlowPacket packet;
+    packet.flow = kFlow;
+    packet.mark.purpose = MarkPurpose::kKnown;
+    packet.mark.service_tag = ServiceTag(MakeServiceId("desk"));
+    packet.sender = 77;
+    return packet;
+  }
+
+  static FlowAgentOutbox FromBalancer(FlowAgent& agent,
+                                      const FlowPacket& packet) {
+    FlowAgentInbox inbox;
+    inbox.from_balancers = {packet};
+    return agent.Tick(kStart, inbox);
+  }
+
+  static FlowAgentOutbox FromServer(FlowAgent& agent,
+                                    const FlowPacket& packet) {
+    FlowAgentInbox inbox;
+    inbox.from_server = {packet};
+    return agent.Tick(kStart, inbox);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FlowPartsTest);
+
+}  // namespace
+}  // namespace cactuscross
