--- a/src/core/flow/flow_balancer.cc
+++ b/src/core/flow/flow_balancer.cc
@@ -368,7 +368,7 @@
       PlaceFlow(this->now, servers, opening.service, opening.flow,
                 this->settings.node.zone, opening.tried);
   if (placement.status == PlacementStatus::kNoServer) {
-    this->RefuseOpening(opening, reason);
+    this->RefuseOpening(opening, opening.tried.empty() ? "no_server" : reason);
     return;
   }
   if (placement.status == PlacementStatus::kSaturated) {
@@ -403,7 +403,7 @@
                                        std::string_view reason) {
   const FlowKey flow = opening.flow;
   FlowEvent& event = this->Report(FlowEventKind::kRefused, flow);
-  event.reason = opening.tried.empty() ? "no_server" : reason;
+  event.reason = reason;
   event.tries = static_cast<std::uint32_t>(opening.tried.size());
   event.age = this->now - opening.began_at;
   this->Reset(flow, 0);
@@ -478,7 +478,10 @@
   FlowEvent& event = this->Report(
       lost ? FlowEventKind::kLost : FlowEventKind::kSearchGaveUp, flow);
   event.tries = static_cast<std::uint32_t>(search.asked);
-  event.running = static_cast<std::uint32_t>(search.answered.size());
+  event.detail = std::to_string(search.answered.size()) + " answered";
+  event.reason = view_is_whole          ? "view_whole"
+                 : search.holder_denied ? "holder_denied"
+                                        : "view_in_doubt";
   event.age = this->now - search.began_at;
   if (lost) {
     this->Reset(flow, search.last_acknowledgement);
