--- /dev/null
+++ b/tests/flow_processes/standins.py
@@ -0,0 +1,236 @@
+"""Stand-ins of the users' platform for tests with real processes: a store, a
+backend server that speaks the packets, and a client. Loopback only."""
+
+import base64
+import http.server
+import json
+import random
+import socket
+import struct
+import threading
+import time
+import urllib.parse
+
+HEAD = struct.Struct("<B5s4sIIHHIHII")
+SYN, RST, BOUNCED, ACK, FIN = 1, 2, 32, 64, 128
+
+
+def to_number(address):
+    return struct.unpack("!I", socket.inet_aton(address))[0]
+
+
+def to_address(number):
+    return socket.inet_ntoa(struct.pack("!I", number))
+
+
+class Packet:
+    """One packet; `kept` holds pad and echo."""
+
+    def __init__(self, flags, source, destination, seq=0, ack=0, data=b"",
+                 kept=(b"\0" * 5, b"\0" * 4)):
+        self.flags, self.source, self.destination = flags, source, destination
+        self.seq, self.ack, self.data, self.kept = seq, ack, data, kept
+
+    def encode(self):
+        return HEAD.pack(
+            self.flags, self.kept[0], self.kept[1],
+            to_number(self.destination[0]), to_number(self.source[0]),
+            self.source[1], self.destination[1], 0, len(self.data), self.seq,
+            self.ack) + self.data
+
+    @staticmethod
+    def decode(text):
+        (flags, pad, echo, dst, src, sport, dport, _, length, seq,
+         ack) = HEAD.unpack_from(text)
+        data = text[HEAD.size:HEAD.size + length]
+        return Packet(flags, (to_address(src), sport), (to_address(dst), dport),
+                      seq, ack, data, (pad, echo))
+
+
+class Store:
+    """Items under keys; lists and watches, as the platform answers them."""
+
+    def __init__(self, address):
+        self.items, self.deleted, self.revision = {}, {}, 1
+        self.changed = threading.Condition()
+        self.down = False
+        store = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def do_GET(self):  # pylint: disable=invalid-name
+                parts = urllib.parse.urlsplit(self.path)
+                query = dict(urllib.parse.parse_qsl(parts.query))
+                status, body = store.answer(parts.path, query)
+                text = json.dumps(body).encode()
+                self.send_response(status)
+                self.send_header("Content-Type", "application/json")
+                self.send_header("Content-Length", str(len(text)))
+                self.end_headers()
+                try:
+                    self.wfile.write(text)
+                except OSError:
+                    pass  # the watcher has gone
+
+            def log_message(self, *_):
+                pass
+
+        http.server.ThreadingHTTPServer.allow_reuse_address = True
+        self.server = http.server.ThreadingHTTPServer(address, Handler)
+        self.server.daemon_threads = True
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def put(self, key, value):
+        text = value if isinstance(value, bytes) else json.dumps(value).encode()
+        with self.changed:
+            self.revision += 1
+            self.items[key] = (base64.b64encode(text).decode(), self.revision)
+            self.changed.notify_all()
+
+    def delete(self, key):
+        with self.changed:
+            self.revision += 1
+            self.items.pop(key, None)
+            self.deleted[key] = self.revision
+            self.changed.notify_all()
+
+    def answer(self, path, query):
+        if self.down:
+            return 503, {"error": "down"}
+        prefix = query.get("prefix", "")
+        with self.changed:
+            if path == "/kv-range":
+                return 200, {"items": self._items(prefix, 0), "truncated": False,
+                             "at": self.revision}
+            after = int(query["after"])
+            deadline = time.monotonic() + int(query["waitMs"]) / 1000
+            while True:
+                events = self._items(prefix, after) + [
+                    {"key": key, "rev": rev, "deleted": True}
+                    for key, rev in self.deleted.items()
+                    if key.startswith(prefix) and rev > after]
+                left = deadline - time.monotonic()
+                if events or left <= 0:
+                    return 200, {"events": events, "at": self.revision}
+                self.changed.wait(left)
+
+    def _items(self, prefix, after):
+        return [{"key": key, "value": value, "rev": rev, "created": rev,
+                 "lease": 0}
+                for key, (value, rev) in sorted(self.items.items())
+                if key.startswith(prefix) and rev > after]
+
+
+class Server:
+    """A backend server: grants every opening and answers every request."""
+
+    def __init__(self, app, outbound, name):
+        self.app, self.outbound, self.name = app, outbound, name
+        self.flows, self.openings, self.returned = {}, 0, 0
+        self.listener = socket.create_server(app)
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind(app)
+        self.running = True
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def stop(self):
+        self.running = False
+        self.socket.close()
+        self.listener.close()
+
+    def _run(self):
+        while self.running:
+            try:
+                text = self.socket.recv(2048)
+            except OSError:
+                return
+            packet = Packet.decode(text)
+            flow = (packet.source, packet.destination)
+            if packet.flags & SYN:
+                self.openings += 1
+                self.flows.setdefault(flow, random.randrange(1 << 32))
+                self._reply(packet, SYN | ACK, self.flows[flow], packet.seq + 1)
+            elif flow not in self.flows:
+                self.returned += 1
+                packet.flags |= BOUNCED
+                packet.kept = (b"\0" * 5, packet.kept[1])
+                self._send(packet)
+            elif packet.data:
+                self._reply(packet, ACK, packet.ack,
+                            packet.seq + len(packet.data),
+                            self.name.encode() + b":" + packet.data)
+
+    def _reply(self, packet, flags, seq, ack, data=b""):
+        self._send(Packet(flags, packet.destination, packet.source,
+                          seq & 0xFFFFFFFF, ack & 0xFFFFFFFF, data))
+
+    def _send(self, packet):
+        if self.running:
+            self.socket.sendto(packet.encode(), self.outbound)
+
+
+class Client:
+    """A client on its own address; routers hand its packets to any balancer."""
+
+    def __init__(self, address, balancers, data_port):
+        self.address, self.balancers = address, balancers
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind((address, data_port))
+        self.next_port = 1024
+
+    def open(self, service, timeout=1.4):
+        """Opens a flow; returns it, or None on a reset or silence."""
+        self.next_port += 1
+        flow = Flow(self, (self.address, self.next_port), service)
+        for copy, wait in enumerate((0.2, 0.4, timeout - 0.6)):
+            self.send(Packet(SYN, flow.source, service, flow.seq, copy))
+            packet = self.receive(flow, wait)
+            if packet is not None:
+                if packet.flags & RST:
+                    return None
+                flow.seq += 1
+                flow.ack = (packet.seq + 1) & 0xFFFFFFFF
+                self.send(Packet(ACK, flow.source, service, flow.seq, flow.ack))
+                return flow
+        return None
+
+    def send(self, packet):
+        self.socket.sendto(packet.encode(), random.choice(self.balancers))
+
+    def receive(self, flow, wait):
+        deadline = time.monotonic() + wait
+        while True:
+            left = deadline - time.monotonic()
+            if left <= 0:
+                return None
+            self.socket.settimeout(left)
+            try:
+                packet = Packet.decode(self.socket.recv(2048))
+            except (socket.timeout, OSError):
+                return None
+            if packet.destination == flow.source:
+                return packet
+
+
+class Flow:
+    def __init__(self, client, source, service):
+        self.client, self.source, self.service = client, source, service
+        self.seq, self.ack = random.randrange(1 << 31), 0
+
+    def ask(self, data, tries=4):
+        """Sends a request; returns the answer, "reset" or None."""
+        wait = 0.2
+        for _ in range(tries):
+            self.client.send(Packet(ACK, self.source, self.service, self.seq,
+                                    self.ack, data))
+            packet = self.client.receive(self, wait)
+            while packet is not None:
+                if packet.flags & RST:
+                    return "reset"
+                if packet.data.endswith(data):
+                    self.seq += len(data)
+                    return packet.data.decode()
+                packet = self.client.receive(self, wait)
+            wait *= 2
+        return None
