Servers that are gone do not keep a search from ending

Trace: searches gave up with 48 of 51 answers; the three were servers that lapsed after the restart and whose hosts were gone. Ruled out: a view in doubt (reason view_whole).

A server counts as gone once the store has not listed it for 2 s and its agent is silent.

--- a/src/core/flow/flow_balancer.cc
+++ b/src/core/flow/flow_balancer.cc
@@ -97,6 +97,8 @@
   // All servers were asked; `all_answered`: each said that it holds no such
   // flow.
   void EndSearch(FlowSearch& search, bool all_answered);
+  // True if no server that was asked can still hold the flow.
+  bool NobodyHolds(const FlowSearch& search);
 
   void Forward(const ServerEntry& entry, MarkPurpose purpose, Bytes bytes);
   void Reset(const FlowKey& flow, std::uint32_t sequence);
@@ -489,6 +491,15 @@
   this->searches.Erase(flow);
 }
 
+bool FlowBalancer::Impl::NobodyHolds(const FlowSearch& search) {
+  return std::all_of(
+      search.order.begin(), search.order.end(), [&](ServerKey key) {
+        const ServerEntry* entry = this->view.Servers().Find(key);
+        return search.HasAnswered(key) || entry == nullptr ||
+               IsGone(this->now, *entry);
+      });
+}
+
 void FlowBalancer::Impl::ContinueOpenings() {
   for (const FlowKey& flow : this->openings.Overdue(this->now)) {
     Opening& opening = *this->openings.Find(flow);
@@ -517,7 +528,7 @@
   for (const FlowKey& flow : this->searches.Overdue(this->now)) {
     FlowSearch& search = *this->searches.Find(flow);
     if (search.AllAsked()) {
-      this->EndSearch(search, search.AllAnswered());
+      this->EndSearch(search, this->NobodyHolds(search));
     } else {
       this->AskNextStep(search);
     }
--- a/src/core/flow/search_table.cc
+++ b/src/core/flow/search_table.cc
@@ -56,9 +56,7 @@
       search.order.begin() + static_cast<std::ptrdiff_t>(search.asked);
   const bool was_asked =
       std::find(search.order.begin(), asked_end, server) != asked_end;
-  const bool known = std::find(search.answered.begin(), search.answered.end(),
-                               server) != search.answered.end();
-  if (was_asked && !known) {
+  if (was_asked && !search.HasAnswered(server)) {
     search.answered.push_back(server);
   }
 }
--- a/src/core/flow/search_table.h
+++ b/src/core/flow/search_table.h
@@ -4,6 +4,7 @@
 // Searches for the server that holds a flow: the flow's packets go to servers
 // in the flow's order, a few at a time; agents say whether theirs holds it.
 
+#include <algorithm>
 #include <unordered_map>
 #include <vector>
 
@@ -24,6 +25,10 @@
   // The server that held the flow has said that it holds it no more.
   bool holder_denied = false;
 
+  bool HasAnswered(ServerKey server) const {
+    return std::find(this->answered.begin(), this->answered.end(), server) !=
+           this->answered.end();
+  }
   bool AllAnswered() const { return this->answered.size() >= this->asked; }
   bool AllAsked() const { return this->asked == this->order.size(); }
 };
--- a/src/core/flow/server_table.cc
+++ b/src/core/flow/server_table.cc
@@ -10,6 +10,9 @@
 // return; one that is missing for longer is gone.
 constexpr Duration kLapseGrace{2000000};
 
+// Agents tell their load each 0.5 s to balancers that they have heard.
+constexpr Duration kAgentSilence{1500000};
+
 // Unanswered openings in a row until a server is avoided. One may be a lost
 // datagram.
 constexpr std::uint32_t kDoubtAfterUnanswered = 2;
@@ -256,6 +259,11 @@
   }
 }
 
+bool IsGone(TimePoint now, const ServerEntry& entry) {
+  const bool silent = !entry.heard || now - entry.heard_at >= kAgentSilence;
+  return !entry.listed && now - entry.unlisted_at >= kLapseGrace && silent;
+}
+
 bool IsPlaceable(TimePoint now, const ServerEntry& entry) {
   if (entry.server.phase == ServerPhase::kLeaving || entry.load.down) {
     return false;
--- a/src/core/flow/server_table.h
+++ b/src/core/flow/server_table.h
@@ -98,6 +98,11 @@
   std::unordered_map<std::uint64_t, std::vector<ServerKey>> by_service;
 };
 
+// True if `entry` is gone for good, as far as anybody can tell: the store does
+// not list it, the time for lapsed entries to come back is over, and its agent
+// is silent.
+bool IsGone(TimePoint now, const ServerEntry& entry);
+
 // True if `entry` may get new flows.
 bool IsPlaceable(TimePoint now, const ServerEntry& entry);
 
--- a/tests/flow/test_flow_world.cc
+++ b/tests/flow/test_flow_world.cc
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(StoreOutageChangesNothing);
   CPPUNIT_TEST(LostHistoryIsReadAgain);
   CPPUNIT_TEST(LossOfPowerWithOldEntries);
+  CPPUNIT_TEST(LossOfPowerAfterServersLeft);
   CPPUNIT_TEST(LossOfPowerWithSilentStore);
   CPPUNIT_TEST(RemovedRouteIsRefused);
   CPPUNIT_TEST(SlowServerIsRelieved);
@@ -162,6 +163,21 @@
                    world.Events(FlowEventKind::kLost) / 5);
   }
 
+  // Servers that did not come back with the others never answer a search. Once
+  // their entries have lapsed they must not keep flows from being let go.
+  void LossOfPowerAfterServersLeft() {
+    FlowWorld world(kSeed, WorkshopShape(0.6));
+    world.Run(seconds(2));
+    world.LoseServer(0);
+    world.LoseServer(1);
+    world.PowerOffAll(seconds(1), /*new_names=*/false);
+    world.Run(seconds(2));
+    world.HideEntry(0, true);
+    world.HideEntry(1, true);
+    world.Run(seconds(4));
+    CheckServed(world.Run(seconds(3)), 0.96, 0.99);
+  }
+
   // Nothing can be served before the store is back; then at once.
   void LossOfPowerWithSilentStore() {
     FlowWorld world(kSeed, WorkshopShape(0.8));
--- a/tests/support/flow_world.cc
+++ b/tests/support/flow_world.cc
@@ -138,7 +138,7 @@
     std::uint32_t running = 0;
     TimePoint last_opening_at;
     std::uint64_t listed_revision = 0;
-    bool hidden = false;
+    bool removed = false;
 
     std::unique_ptr<FlowAgent> agent;
     std::uint64_t agent_start = 0;
@@ -992,6 +992,9 @@
   }
   for (std::size_t i = 0; i < this->impl->servers.size(); ++i) {
     Impl::Server& server = this->impl->servers[i];
+    if (server.removed) {
+      continue;
+    }
     server.up = false;
     server.silent = true;
     server.agent.reset();
@@ -1013,6 +1016,13 @@
   this->impl->servers[index].flows.clear();
 }
 
+void FlowWorld::LoseServer(std::size_t index) {
+  Impl::Server& server = this->impl->servers[index];
+  server.removed = true;
+  server.agent.reset();
+  this->CrashServer(index, /*silent=*/true);
+}
+
 void FlowWorld::RestartServer(std::size_t index) {
   this->impl->StartServer(index, this->impl->servers[index].name);
 }
--- a/tests/support/flow_world.h
+++ b/tests/support/flow_world.h
@@ -87,7 +87,8 @@
   // Servers, over all services.
   std::size_t ServerCount() const;
   void CrashServer(std::size_t index, bool silent);  // for good
-  void RestartServer(std::size_t index);             // under the same name
+  void LoseServer(std::size_t index);     // with its host; its entry stays
+  void RestartServer(std::size_t index);  // under the same name
   void DrainServer(std::size_t index);
   void SlowServer(std::size_t index, double factor);
   // Another service's server takes over the host.
