--- a/tests/support/flow_world.cc
+++ b/tests/support/flow_world.cc
@@ -193,7 +193,7 @@
   void TickAll();
 
   void TickBalancer(std::size_t index, FlowBalancerInbox inbox);
-  void TickAgent(std::size_t index, FlowAgentInbox inbox);
+  void TickAgent(std::size_t index, const FlowAgentInbox& inbox);
   void ToClient(const Bytes& bytes);
   void ResetAtClient(const FlowReset& reset);
   void AtServer(std::size_t index, const Bytes& bytes, RouteMark mark);
@@ -389,7 +389,7 @@
                   inbox.from_balancers.push_back(Decode(forward.bytes));
                   inbox.from_balancers[0].mark = forward.mark;
                   inbox.from_balancers[0].sender = host;
-                  this->TickAgent(i, std::move(inbox));
+                  this->TickAgent(i, inbox);
                 });
     }
   }
@@ -406,7 +406,7 @@
                 [this, i, sent = notice.notice] {
                   FlowAgentInbox inbox;
                   inbox.notices.push_back(sent);
-                  this->TickAgent(i, std::move(inbox));
+                  this->TickAgent(i, inbox);
                 });
     }
   }
@@ -435,7 +435,8 @@
   }
 }
 
-void FlowWorld::Impl::TickAgent(std::size_t index, FlowAgentInbox inbox) {
+void FlowWorld::Impl::TickAgent(std::size_t index,
+                                const FlowAgentInbox& inbox) {
   Server& server = this->servers[index];
   if (server.agent == nullptr) {
     return;
@@ -480,7 +481,7 @@
       if (this->servers[index].agent_start == start) {
         FlowAgentInbox inbox;
         inbox.probe = result;
-        this->TickAgent(index, std::move(inbox));
+        this->TickAgent(index, inbox);
       }
     });
   }
@@ -600,7 +601,7 @@
   this->world.link.Schedule(kOnHost, [this, index, bytes = Encode(sent)] {
     FlowAgentInbox inbox;
     inbox.from_server.push_back(Decode(bytes));
-    this->TickAgent(index, std::move(inbox));
+    this->TickAgent(index, inbox);
   });
 }
 
@@ -612,7 +613,7 @@
     inbox.from_server.push_back(Decode(bytes));
     inbox.from_server[0].returned = true;
     inbox.from_server[0].mark.balancer = mark.balancer;
-    this->TickAgent(index, std::move(inbox));
+    this->TickAgent(index, inbox);
   });
 }
 
