Guards in searches and refusals; an entry without its plain fields names no server

From reading the change: a server may be forgotten between two steps of a search, and a notice may arrive for an opening that waits and has not been sent to anybody; both would have read past the end. Entries that lack version or seq, or whose start is no whole number, come from another writer.

--- a/src/core/flow/flow_balancer.cc
+++ b/src/core/flow/flow_balancer.cc
@@ -211,7 +211,9 @@
 
 void FlowBalancer::Impl::OnRefused(const FlowNotice& notice, ServerKey server) {
   Opening* opening = this->openings.Find(notice.flow);
-  if (opening != nullptr && opening->tried.back() == server) {
+  const bool asked = opening != nullptr && !opening->tried.empty() &&
+                     opening->tried.back() == server;
+  if (asked) {
     this->AskNextServer(*opening, notice.kind == NoticeKind::kWrongService
                                       ? "wrong_service"
                                       : "server_refused");
@@ -462,9 +464,11 @@
   const std::size_t step = NextStep(search);
   search.asked_at = this->now;
   for (std::size_t i = 0; i < step; ++i) {
-    const ServerEntry& entry =
-        *this->view.Servers().Find(search.order[search.asked + i]);
-    this->Forward(entry, MarkPurpose::kSearch, search.packets.front());
+    // A server may have been forgotten since the order was made.
+    if (const ServerEntry* entry =
+            this->view.Servers().Find(search.order[search.asked + i])) {
+      this->Forward(*entry, MarkPurpose::kSearch, search.packets.front());
+    }
   }
   search.asked += step;
 }
--- a/tests/platform/test_entry_decoder.cc
+++ b/tests/platform/test_entry_decoder.cc
@@ -15,22 +15,29 @@
 
 // Entries that describe no server.
 constexpr std::array kUnreadable = {
+    R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":7,)"
+    R"("state":"ready","coldRemainingMs":0,"version":"v","seq":1,)"
+    R"("born":"yesterday"})",
+    R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":7,)"
+    R"("state":"ready","coldRemainingMs":0,"version":2,"seq":1})",
+    R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":7,)"
+    R"("state":"ready","coldRemainingMs":0,"version":"v"})",
     "",
     "no json",
     "[]",
     R"({"service":"s"})",
     R"({"service":5,"address":"10.0.0.1:1","zone":"z","slots":7,)"
-    R"("state":"ready","coldRemainingMs":0})",
+    R"("state":"ready","coldRemainingMs":0,"version":"v","seq":1})",
     R"({"service":"s","address":"10.0.0.1","zone":"z","slots":7,)"
-    R"("state":"ready","coldRemainingMs":0})",
+    R"("state":"ready","coldRemainingMs":0,"version":"v","seq":1})",
     R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":0,)"
-    R"("state":"ready","coldRemainingMs":0})",
+    R"("state":"ready","coldRemainingMs":0,"version":"v","seq":1})",
     R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":"7",)"
-    R"("state":"ready","coldRemainingMs":0})",
+    R"("state":"ready","coldRemainingMs":0,"version":"v","seq":1})",
     R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":7,)"
-    R"("state":"resting","coldRemainingMs":0})",
+    R"("state":"resting","coldRemainingMs":0,"version":"v","seq":1})",
     R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":7,)"
-    R"("state":"ready","coldRemainingMs":-1})",
+    R"("state":"ready","coldRemainingMs":-1,"version":"v","seq":1})",
 };
 
 constexpr char kConfig[] =
