One piece where the flow path had two, and what nobody used is gone

From reading the change once more: the settings watch reads files by the command line's ReadFile, now in src/config; both roles share the loop that starts, runs and ends a process; a search's end derives whether anybody can hold the flow in place of being told; notices find their server by an index of hosts, not by a walk over all servers; the digest's reads_store and three accessors are removed.

--- a/include/cactuscross/flow_gossip.h
+++ b/include/cactuscross/flow_gossip.h
@@ -38,7 +38,6 @@
   ViewMark mark;    // kDigest, kPull: of the sender; else of the reply
   // kDigest: time since the sender's view was last confirmed by the store.
   Duration age{0};
-  bool reads_store = false;          // kDigest
   std::vector<Endpoint> peers;       // kDigest: some balancers it has heard
   GossipPart part;                   // kRoutes, kServers
   std::uint64_t after_revision = 0;  // kServers: changes since; 0: all
--- a/src/cli/check_command.cc
+++ b/src/cli/check_command.cc
@@ -2,10 +2,10 @@
 
 #include "src/cli/command.h"
 #include "src/cli/errors_page.h"
-#include "src/cli/file_reader.h"
 #include "src/config/contract_parser.h"
 #include "src/config/field_description.h"
 #include "src/config/file_kind.h"
+#include "src/config/file_reader.h"
 #include "src/config/settings_parser.h"
 
 namespace cactuscross {
--- a/src/cli/role_commands.cc
+++ b/src/cli/role_commands.cc
@@ -2,7 +2,7 @@
 
 #include "platform/adapter.h"
 #include "src/cli/command.h"
-#include "src/cli/file_reader.h"
+#include "src/config/file_reader.h"
 #include "src/config/settings_parser.h"
 #include "src/shell/flow/run_flow_agent.h"
 #include "src/shell/flow/run_flow_balancer.h"
--- a/src/cli/file_reader.cc
+++ b/src/config/file_reader.cc
@@ -1,4 +1,4 @@
-#include "src/cli/file_reader.h"
+#include "src/config/file_reader.h"
 
 #include <cerrno>
 #include <cstring>
--- a/src/cli/file_reader.h
+++ b/src/config/file_reader.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSCROSS_SRC_CLI_FILE_READER_H_
-#define CACTUSCROSS_SRC_CLI_FILE_READER_H_
+#ifndef CACTUSCROSS_SRC_CONFIG_FILE_READER_H_
+#define CACTUSCROSS_SRC_CONFIG_FILE_READER_H_
 
 #include <string>
 
@@ -16,4 +16,4 @@
 
 }  // namespace cactuscross
 
-#endif  // CACTUSCROSS_SRC_CLI_FILE_READER_H_
+#endif  // CACTUSCROSS_SRC_CONFIG_FILE_READER_H_
--- a/src/core/flow/flow_balancer.cc
+++ b/src/core/flow/flow_balancer.cc
@@ -94,9 +94,8 @@
                    ByteView packet,
                    std::uint32_t acknowledgement);
   void AskNextStep(FlowSearch& search);
-  // All servers were asked; `all_answered`: each said that it holds no such
-  // flow.
-  void EndSearch(FlowSearch& search, bool all_answered);
+  // All servers were asked, and have answered or had the time for it.
+  void EndSearch(FlowSearch& search);
   // True if no server that was asked can still hold the flow.
   bool NobodyHolds(const FlowSearch& search);
 
@@ -245,7 +244,7 @@
     NoteNotHeld(*search, server);
     if (search->AllAnswered()) {
       if (search->AllAsked()) {
-        this->EndSearch(*search, true);
+        this->EndSearch(*search);
       } else {
         this->AskNextStep(*search);
       }
@@ -473,14 +472,15 @@
   search.asked += step;
 }
 
-void FlowBalancer::Impl::EndSearch(FlowSearch& search, bool all_answered) {
+void FlowBalancer::Impl::EndSearch(FlowSearch& search) {
   const FlowKey flow = search.flow;
   // While the store is away, a server that is not known here may hold a flow
   // whose holder was not known either.
   const bool view_is_whole = this->view.IsLoaded() &&
                              this->gossip.IsCurrent(this->now, this->view) &&
                              this->gossip.IsSettled(this->now);
-  const bool lost = all_answered && (view_is_whole || search.holder_denied);
+  const bool lost =
+      this->NobodyHolds(search) && (view_is_whole || search.holder_denied);
   FlowEvent& event = this->Report(
       lost ? FlowEventKind::kLost : FlowEventKind::kSearchGaveUp, flow);
   event.tries = static_cast<std::uint32_t>(search.asked);
@@ -532,7 +532,7 @@
   for (const FlowKey& flow : this->searches.Overdue(this->now)) {
     FlowSearch& search = *this->searches.Find(flow);
     if (search.AllAsked()) {
-      this->EndSearch(search, this->NobodyHolds(search));
+      this->EndSearch(search);
     } else {
       this->AskNextStep(search);
     }
--- a/src/core/flow/gossip_peers.h
+++ b/src/core/flow/gossip_peers.h
@@ -46,8 +46,6 @@
   // there is none.
   TimePoint ConfirmedAt(TimePoint now) const;
 
-  const std::vector<GossipPeer>& All() const { return this->peers; }
-
  private:
   const GossipPeer* Find(const Endpoint& control) const;
   GossipPeer* FindOrAdd(const Endpoint& control);
--- a/src/core/flow/server_table.cc
+++ b/src/core/flow/server_table.cc
@@ -82,7 +82,7 @@
   }
   if (moved) {
     this->Supersede(now, entry, events);
-    this->IndexByService();
+    this->Index();
   }
 }
 
@@ -103,7 +103,7 @@
   entry.listed = false;
   // The grace for lapsed entries is for those who saw them lapse.
   entry.unlisted_at = now - kLapseGrace;
-  this->IndexByService();
+  this->Index();
 }
 
 std::vector<ServerChange> ServerTable::ChangesSince(
@@ -222,7 +222,7 @@
     }
   }
   if (changed) {
-    this->IndexByService();
+    this->Index();
   }
 }
 
@@ -234,11 +234,15 @@
 ServerEntry* ServerTable::FindByHost(std::uint32_t host,
                                      std::uint32_t service_tag) {
   ServerEntry* newest = nullptr;
-  for (auto& [key, entry] : this->entries) {
-    if (entry.server.host == host && !entry.superseded &&
-        ServiceTag(entry.server.service) == service_tag &&
-        (newest == nullptr || newest->revision < entry.revision)) {
-      newest = &entry;
+  const auto found = this->by_host.find(host);
+  if (found == this->by_host.end()) {
+    return nullptr;
+  }
+  for (const ServerKey key : found->second) {
+    ServerEntry* entry = this->Find(key);
+    if (ServiceTag(entry->server.service) == service_tag &&
+        (newest == nullptr || newest->revision < entry->revision)) {
+      newest = entry;
     }
   }
   return newest;
@@ -250,11 +254,13 @@
   return found == this->by_service.end() ? none : found->second;
 }
 
-void ServerTable::IndexByService() {
+void ServerTable::Index() {
   this->by_service.clear();
+  this->by_host.clear();
   for (const auto& [key, entry] : this->entries) {
     if (!entry.superseded) {
       this->by_service[ToNumber(entry.server.service)].push_back(key);
+      this->by_host[entry.server.host].push_back(key);
     }
   }
 }
--- a/src/core/flow/server_table.h
+++ b/src/core/flow/server_table.h
@@ -92,10 +92,12 @@
   void Supersede(TimePoint now,
                  const ServerEntry& changed,
                  std::vector<FlowEvent>& events);
-  void IndexByService();
+  void Index();
 
   Entries entries;
+  // Without those that are superseded.
   std::unordered_map<std::uint64_t, std::vector<ServerKey>> by_service;
+  std::unordered_map<std::uint32_t, std::vector<ServerKey>> by_host;
 };
 
 // True if `entry` is gone for good, as far as anybody can tell: the store does
--- a/src/core/flow/store_reader.h
+++ b/src/core/flow/store_reader.h
@@ -24,7 +24,6 @@
   // answer is then of no use.
   bool NoteAnswer(TimePoint now, const StoreAnswer& answer);
 
-  StoreSubject Subject() const { return this->subject; }
   // Revision of the store up to which all changes were read; 0: none.
   std::uint64_t CompleteRevision() const {
     return this->loaded ? this->watch_revision : 0;
--- a/src/core/flow/store_view.cc
+++ b/src/core/flow/store_view.cc
@@ -93,10 +93,6 @@
                   this->server_reader.AnsweredAt());
 }
 
-bool StoreView::IsReachable() const {
-  return this->route_reader.IsReachable() && this->server_reader.IsReachable();
-}
-
 StoreReader& StoreView::ReaderOf(StoreSubject subject) {
   return subject == StoreSubject::kRoutes ? this->route_reader
                                           : this->server_reader;
--- a/src/core/flow/store_view.h
+++ b/src/core/flow/store_view.h
@@ -26,7 +26,6 @@
 
   // Whether this process reads the store; else it lives by its peers.
   void SetReading(bool reading);
-  bool IsReading() const { return this->reading; }
 
   // Takes over routes if they are newer. `source`: for the log.
   void ApplyRoutes(const RouteSet& routes,
@@ -46,8 +45,6 @@
   ViewMark Mark() const;
   // Last time that the store confirmed both subjects to this process.
   TimePoint ConfirmedAt() const;
-  // True while the store answers both subjects.
-  bool IsReachable() const;
 
   const ActiveRoutes& Routes() const { return this->routes; }
   ServerTable& Servers() { return this->servers; }
--- a/src/core/flow/view_gossip.cc
+++ b/src/core/flow/view_gossip.cc
@@ -230,7 +230,6 @@
   digest.kind = GossipKind::kDigest;
   digest.mark = view.Mark();
   digest.age = this->now - view.ConfirmedAt();
-  digest.reads_store = view.IsReading();
   digest.peers = this->peers.Known(this->now, kPeersInDigest);
   return digest;
 }
--- a/src/shell/flow/flow_process.h
+++ b/src/shell/flow/flow_process.h
@@ -6,6 +6,7 @@
 
 #include <poll.h>
 
+#include <exception>
 #include <functional>
 #include <string>
 #include <vector>
@@ -16,11 +17,16 @@
 #include "src/shell/flow/flow_log.h"
 #include "src/shell/flow/http_listener.h"
 #include "src/shell/flow/settings_watch.h"
+#include "src/shell/log.h"
 #include "src/shell/system.h"
 #include "src/shell/udp_socket.h"
 
 namespace cactuscross {
 
+// Batches of packets that are taken between two polls; the rest waits until
+// notices, store and readiness had their turn.
+inline constexpr int kMaxBatches = 8;
+
 // Opens a UDP socket. Throws std::system_error where it cannot be bound.
 UdpSocket OpenSocket(const Endpoint& local);
 
@@ -87,6 +93,26 @@
   std::uint64_t unsent = 0;
 };
 
+// Makes a `Loop` and calls its RunOnce() until that returns false. Logs the
+// start with `fields`, and the end. Returns the exit code.
+template <typename Loop, typename Settings>
+int RunLoop(const Settings& settings,
+            const FlowAdapter& adapter,
+            const std::string& settings_path,
+            const nlohmann::json& fields) {
+  try {
+    Loop loop(settings, adapter, settings_path);
+    Log(LogSeverity::kInfo, "process", "started", fields);
+    while (loop.RunOnce()) {
+    }
+    Log(LogSeverity::kInfo, "process", "stopped");
+    return 0;
+  } catch (const std::exception& error) {
+    Log(LogSeverity::kError, "process", "failed", {{"error", error.what()}});
+    return 1;
+  }
+}
+
 }  // namespace cactuscross
 
 #endif  // CACTUSCROSS_SRC_SHELL_FLOW_FLOW_PROCESS_H_
--- a/src/shell/flow/run_flow_agent.cc
+++ b/src/shell/flow/run_flow_agent.cc
@@ -1,6 +1,5 @@
 #include "src/shell/flow/run_flow_agent.h"
 
-#include <exception>
 #include <utility>
 
 #include "cactuscross/flow_agent.h"
@@ -11,9 +10,6 @@
 namespace cactuscross {
 namespace {
 
-// See run_flow_balancer.cc.
-constexpr int kMaxBatches = 8;
-
 class AgentLoop {
  public:
   AgentLoop(const FlowAgentSettings& settings,
@@ -96,21 +92,11 @@
 int RunFlowAgent(const FlowAgentSettings& settings,
                  const FlowAdapter& adapter,
                  const std::string& settings_path) {
-  try {
-    AgentLoop loop(settings, adapter, settings_path);
-    Log(LogSeverity::kInfo, "process", "started",
-        {{"role", "flow-agent"},
-         {"data", ToString(settings.node.data)},
-         {"service", settings.service},
-         {"server", ToString(settings.server)}});
-    while (loop.RunOnce()) {
-    }
-    Log(LogSeverity::kInfo, "process", "stopped");
-    return 0;
-  } catch (const std::exception& error) {
-    Log(LogSeverity::kError, "process", "failed", {{"error", error.what()}});
-    return 1;
-  }
+  return RunLoop<AgentLoop>(settings, adapter, settings_path,
+                            {{"role", "flow-agent"},
+                             {"data", ToString(settings.node.data)},
+                             {"service", settings.service},
+                             {"server", ToString(settings.server)}});
 }
 
 }  // namespace cactuscross
--- a/src/shell/flow/run_flow_balancer.cc
+++ b/src/shell/flow/run_flow_balancer.cc
@@ -1,6 +1,5 @@
 #include "src/shell/flow/run_flow_balancer.h"
 
-#include <exception>
 #include <optional>
 #include <utility>
 
@@ -12,10 +11,6 @@
 namespace cactuscross {
 namespace {
 
-// Batches of packets that are taken between two polls; the rest waits until
-// notices, store and readiness had their turn.
-constexpr int kMaxBatches = 8;
-
 class BalancerLoop {
  public:
   BalancerLoop(const FlowBalancerSettings& settings,
@@ -132,20 +127,10 @@
 int RunFlowBalancer(const FlowBalancerSettings& settings,
                     const FlowAdapter& adapter,
                     const std::string& settings_path) {
-  try {
-    BalancerLoop loop(settings, adapter, settings_path);
-    Log(LogSeverity::kInfo, "process", "started",
-        {{"role", "flow-balancer"},
-         {"data", ToString(settings.node.data)},
-         {"store", ToString(settings.store)}});
-    while (loop.RunOnce()) {
-    }
-    Log(LogSeverity::kInfo, "process", "stopped");
-    return 0;
-  } catch (const std::exception& error) {
-    Log(LogSeverity::kError, "process", "failed", {{"error", error.what()}});
-    return 1;
-  }
+  return RunLoop<BalancerLoop>(settings, adapter, settings_path,
+                               {{"role", "flow-balancer"},
+                                {"data", ToString(settings.node.data)},
+                                {"store", ToString(settings.store)}});
 }
 
 }  // namespace cactuscross
--- a/src/wire/flow_codec.cc
+++ b/src/wire/flow_codec.cc
@@ -133,7 +133,6 @@
   encoded.set_routes_version(message.mark.routes_version);
   encoded.set_servers_revision(message.mark.servers_revision);
   encoded.set_age_ms(std::min(ToMilliseconds(message.age), kMaxAgeMs));
-  encoded.set_reads_store(message.reads_store);
   for (const Endpoint& peer : message.peers) {
     SetAddress(peer, *encoded.add_peers());
   }
@@ -166,7 +165,6 @@
                   encoded.servers_revision()};
   message.age =
       std::chrono::milliseconds(std::min(encoded.age_ms(), kMaxAgeMs));
-  message.reads_store = encoded.reads_store();
   for (const wire::FlowAddress& peer : encoded.peers()) {
     message.peers.push_back(ToEndpoint(peer));
   }
