Somebody is polled even while all neighbours rest

A second fault kept the rests for up to twice their length: a rest that ended between two rotations was noticed at the next rotation only.

Ruled out: the pull queue (no pull was wanted), readiness (never distrusted again), the service's revision (balancers had the version at once).

Change: a rest is a preference; without other neighbours those who rest are polled. The set notices the end of a rest when it comes.

--- a/src/core/control/neighbour_set.cc
+++ b/src/core/control/neighbour_set.cc
@@ -26,7 +26,9 @@
     this->next_rotation = now + this->random.Around(kNeighbourRotation);
     this->changed = true;
   }
-  if (!this->changed && this->seen_generation == this->members.Generation()) {
+  const bool unchanged = !this->changed && now < this->next_rest_end &&
+                         this->seen_generation == this->members.Generation();
+  if (unchanged) {
     return;
   }
   this->changed = false;
@@ -36,9 +38,10 @@
     this->neighbours.clear();
     this->drawn_from = live;
   }
-  this->DropLost(now);
-  this->Fill(now, true, kZoneNeighbours);
-  this->Fill(now, false, kOtherNeighbours);
+  this->EndRests(now);
+  this->DropLost();
+  this->Fill(true, kZoneNeighbours);
+  this->Fill(false, kOtherNeighbours);
 }
 
 void NeighbourSet::Rest(TimePoint now, NodeId node) {
@@ -47,6 +50,11 @@
 }
 
 std::vector<PeerAddress> NeighbourSet::Pick(std::size_t count) {
+  // A rest is a preference: with nobody else left, whoever rests is asked, or
+  // a process that was cut off would not notice that it no longer is.
+  if (this->neighbours.empty()) {
+    return this->PickFromAll(count);
+  }
   std::vector<PeerAddress> picked = this->neighbours;
   this->random.Sample(picked, count);
   return picked;
@@ -63,11 +71,19 @@
   return picked;
 }
 
-void NeighbourSet::DropLost(TimePoint now) {
+void NeighbourSet::EndRests(TimePoint now) {
+  this->next_rest_end = TimePoint::max();
   for (auto entry = this->resting.begin(); entry != this->resting.end();) {
-    entry =
-        entry->second <= now ? this->resting.erase(entry) : std::next(entry);
+    if (entry->second <= now) {
+      entry = this->resting.erase(entry);
+      continue;
+    }
+    this->next_rest_end = std::min(this->next_rest_end, entry->second);
+    ++entry;
   }
+}
+
+void NeighbourSet::DropLost() {
   const auto lost = [this](const PeerAddress& peer) {
     return this->resting.count(peer.node) > 0 ||
            this->members.StateOf(peer.node) != MemberState::kAlive ||
@@ -78,7 +94,7 @@
       this->neighbours.end());
 }
 
-void NeighbourSet::Fill(TimePoint now, bool inside, std::size_t wanted) {
+void NeighbourSet::Fill(bool inside, std::size_t wanted) {
   const auto on_side = [this, inside](const PeerAddress& peer) {
     return (peer.zone == this->zone) == inside;
   };
@@ -101,10 +117,6 @@
   for (const Member* member : candidates) {
     this->neighbours.push_back(member->peer);
   }
-  // Someone who rests may be all there is; look again when the rest is over.
-  if (!this->resting.empty()) {
-    this->next_rotation = std::min(this->next_rotation, now + kNeighbourRest);
-  }
 }
 
 }  // namespace cactuscross
--- a/src/core/control/neighbour_set.h
+++ b/src/core/control/neighbour_set.h
@@ -32,21 +32,23 @@
 
   const std::vector<PeerAddress>& All() const { return this->neighbours; }
 
-  // Up to `count` random neighbours.
+  // Up to `count` random neighbours; without any, as PickFromAll().
   std::vector<PeerAddress> Pick(std::size_t count);
   // The same among all balancers that are thought to be alive: a neighbour may
   // be a seed that was replaced long ago.
   std::vector<PeerAddress> PickFromAll(std::size_t count);
 
  private:
-  void DropLost(TimePoint now);
-  void Fill(TimePoint now, bool inside, std::size_t wanted);
+  void EndRests(TimePoint now);
+  void DropLost();
+  void Fill(bool inside, std::size_t wanted);
 
   std::string zone;
   MemberTable& members;
   ControlRandom& random;
   std::vector<PeerAddress> neighbours;
   std::map<NodeId, TimePoint> resting;  // until when
+  TimePoint next_rest_end = TimePoint::max();
   std::uint64_t seen_generation = 0;
   bool changed = true;
   std::size_t drawn_from = 0;  // live balancers when all were drawn
