A request whose place was taken meanwhile goes on to an agent with room

Walks that run at the same time choose the same agent; the one that comes last finds no room and was refused, while the other agent had room.

Ruled out: the drain (it concerns the other service), loans that end (a burst of eight fits also while a loan counts on neither side), a wrong share.

Change: an agent that was chosen and has no room any more walks on; each such step marks one more candidate as full, so the walk ends.

--- a/src/core/agent/agent.cc
+++ b/src/core/agent/agent.cc
@@ -80,6 +80,7 @@
   void ReceiveUnticketed(ForwardedRequest& request);
   void ReceivePlain(ForwardedRequest& request);
   bool ServeLaterBlock(const ForwardedRequest& request);
+  bool IsForThisAgent(const ForwardedRequest& request) const;
   WalkStep PlaceRequest(ForwardedRequest& request, bool visit_all);
   void AdmitPlain(ForwardedRequest& request);
   void Refuse(const ForwardedRequest& request, ResultCode code);
@@ -433,7 +434,7 @@
   }
   const auto& block = request.message.block1;
   const bool later_block = block && block->number > 0;
-  if (request.kind != ForwardKind::kPlaced || later_block) {
+  if (!this->IsForThisAgent(request) || later_block) {
     const WalkStep step = this->PlaceRequest(request, later_block);
     if (step == WalkStep::kForwarded) {
       return;
@@ -451,9 +452,7 @@
 }
 
 void Agent::Impl::ReceivePlain(ForwardedRequest& request) {
-  const bool placed = request.kind == ForwardKind::kPlaced ||
-                      request.kind == ForwardKind::kRetry;
-  if (!placed) {
+  if (!this->IsForThisAgent(request)) {
     const auto& block = request.message.block2;
     const bool later_block = block && block->number > 0;
     const WalkStep step = this->PlaceRequest(request, later_block);
@@ -468,6 +467,14 @@
   this->AdmitPlain(request);
 }
 
+// A walk chose this agent by its load at the time of the visit. Others may have
+// taken the room since; then the walk goes on, or the request would be refused
+// while another agent has room for it.
+bool Agent::Impl::IsForThisAgent(const ForwardedRequest& request) const {
+  return request.kind == ForwardKind::kRetry ||
+         (request.kind == ForwardKind::kPlaced && this->requests.HasRoom());
+}
+
 WalkStep Agent::Impl::PlaceRequest(ForwardedRequest& request, bool visit_all) {
   const LoadReport own = this->OwnLoad();
   const bool idle = own.accepts_work && own.in_flight + own.queued == 0;
--- /dev/null
+++ b/tests/core/test_placement_race.cc
@@ -0,0 +1,113 @@
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "tests/support/cluster.h"
+
+namespace cactuscross::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Endpoint kDiagrams{0x0A000002, 5685};
+constexpr std::uint32_t kFirstAgent = 21;
+constexpr std::uint32_t kAgents = 2;
+constexpr std::uint32_t kBalancers = 3;
+constexpr std::uint32_t kSlots = 7;
+constexpr std::uint32_t kInFlight = kAgents * kSlots;
+constexpr std::size_t kCallers = 2;
+// Requests of a caller. All of them fit the limit, also while a loan between
+// the agents runs out and neither side may use it.
+constexpr int kAtOnce = 4;
+constexpr std::uint64_t kSeeds = 40;
+constexpr int kBursts = 30;
+
+// Bursts that fit the limit of the service, though not the share of one agent:
+// walks that run at the same time choose with loads that are about to change.
+class PlacementRaceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlacementRaceTest);
+  CPPUNIT_TEST(BurstWithinTheLimitIsNotRefused);
+  CPPUNIT_TEST(BurstOfPostsWithinTheLimitIsNotRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void BurstWithinTheLimitIsNotRefused() {
+    this->RunSeeds(
+        [](FakeCaller& caller) { caller.Get(kDiagrams, "diagram/300", ""); });
+  }
+
+  void BurstOfPostsWithinTheLimitIsNotRefused() {
+    int number = 0;
+    this->RunSeeds([&number](FakeCaller& caller) {
+      caller.Post(kDiagrams, "claims", "claim-" + std::to_string(number++));
+    });
+  }
+
+ private:
+  template <typename Request>
+  void RunSeeds(Request request) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      this->Start(seed);
+      for (int burst = 0; burst < kBursts; ++burst) {
+        for (std::size_t i = 0; i < kCallers; ++i) {
+          for (int n = 0; n < kAtOnce; ++n) {
+            request(this->cluster->GetCaller(i));
+          }
+        }
+        this->cluster->RunFor(milliseconds(300));
+      }
+      this->cluster->RunFor(seconds(5));
+      this->ExpectAllAnswered(seed);
+    }
+  }
+
+  void Start(std::uint64_t seed) {
+    this->cluster = std::make_unique<Cluster>(seed);
+    ContractService service;
+    service.name = "diagrams";
+    service.full_name = "workshops/diagrams";
+    service.id = MakeServiceId(service.full_name);
+    service.addresses = {kDiagrams};
+    service.limits.requests_in_flight = kInFlight;
+    for (std::uint32_t i = 0; i < kBalancers; ++i) {
+      this->cluster->AddBalancer(i + 1, "north-1");
+    }
+    for (std::uint32_t i = 0; i < kAgents; ++i) {
+      this->cluster->AddAgent(kFirstAgent + i, "north-1", service.full_name);
+      this->cluster->GetServer(kFirstAgent + i).slots = kSlots;
+      service.servers.push_back(this->cluster->ServerEntry(kFirstAgent + i));
+    }
+    Contract contract;
+    contract.customer = "workshops";
+    contract.services = {service};
+    this->cluster->GetPlatform().Publish(contract);
+    this->cluster->ListHosts();
+    for (std::size_t i = 0; i < kCallers; ++i) {
+      this->cluster->AddCaller();
+    }
+    this->cluster->RunFor(seconds(5));
+  }
+
+  void ExpectAllAnswered(std::uint64_t seed) {
+    for (std::size_t i = 0; i < kCallers; ++i) {
+      for (const CallerRequest& request :
+           this->cluster->GetCaller(i).Requests()) {
+        CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + ": " +
+                                   request.path + " ended with " +
+                                   request.answer.substr(0, 40),
+                               request.result_code == 0 && request.answered);
+      }
+    }
+  }
+
+  std::unique_ptr<Cluster> cluster;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlacementRaceTest);
+
+}  // namespace
+}  // namespace cactuscross::testing
