--- a/tests/support/fake_server.cc
+++ b/tests/support/fake_server.cc
@@ -138,6 +138,12 @@
          this->link.GetRandom().Between(Duration(0), this->service_time_jitter);
 }
 
+std::size_t FakeServer::Awaited() const {
+  return static_cast<std::size_t>(
+      std::count_if(this->calls.begin(), this->calls.end(),
+                    [](const Call& call) { return !call.forgotten; }));
+}
+
 std::size_t FakeServer::BusySlots() const {
   return static_cast<std::size_t>(
       std::count_if(this->calls.begin(), this->calls.end(),
--- a/tests/support/fake_server.h
+++ b/tests/support/fake_server.h
@@ -72,6 +72,8 @@
 
   Endpoint GetEndpoint() const { return this->endpoint; }
   std::size_t InFlight() const { return this->calls.size(); }
+  // Calls that the agent still waits for: it has not timed out on them.
+  std::size_t Awaited() const;
   std::size_t BusySlots() const;
 
   std::string service;
