Observe values tell when a state was asked for

A poll that was under way when it fell asleep brings a state from before the pause; it was stamped with the time of sending, so callers took it for the newest. A screen jumped back to an old state.

Ruled out: a wrong owner (both owners are what the protocol allows after a pause), reordering on the way (the value itself was higher).

Change: the value follows the time at which the poll began that brought the state. The model's incarnations are wall clock times.

--- a/src/core/agent/session_system.cc
+++ b/src/core/agent/session_system.cc
@@ -38,9 +38,12 @@
 }
 
 // Observe values follow the wall clock in milliseconds, so that they rise also
-// when an agent that knows nothing of the former one takes a session up.
+// when an agent that knows nothing of the former one takes a session up. They
+// tell when the state was asked for, not when it is sent: an agent that wakes
+// after a pause may send an old state later than its successor sent a new one.
 std::uint32_t SessionSystem::NextSequence(const Session& session) const {
-  const Duration since_start = this->context.now - *this->context.started;
+  const Duration since_start =
+      session.resource->known_at - *this->context.started;
   const std::uint64_t wall_us = ToNumber(this->context.incarnation) +
                                 static_cast<std::uint64_t>(since_start.count());
   constexpr std::uint64_t kMicrosecondsPerMillisecond = 1000;
@@ -274,6 +277,7 @@
   const bool changed =
       resource.body == nullptr || resource.body->etag != outcome.body->etag;
   resource.fetched = this->context.now;
+  resource.known_at = resource.poll_began;
   if (changed) {
     resource.body = outcome.body;
   }
--- a/src/core/agent/session_table.h
+++ b/src/core/agent/session_table.h
@@ -64,6 +64,7 @@
   TimePoint next_poll;
   std::optional<CallId> poll;
   TimePoint poll_began;
+  TimePoint known_at;  // the poll that brought `body` began then
   Watchers watchers;
 };
 
--- a/tests/core/test_whole_path.cc
+++ b/tests/core/test_whole_path.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(CancelledSessionEndsAtItsOwner);
   CPPUNIT_TEST(UnknownAddressIsRefused);
   CPPUNIT_TEST(ReusedTicketGetsNewOne);
+  CPPUNIT_TEST(AgentThatWakesShowsNoOlderState);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -190,7 +191,50 @@
     CPPUNIT_ASSERT_EQUAL(1, this->cluster->GetLedger().runs["claim-2"]);
   }
 
+  // Another agent took the session up meanwhile. What the first one fetched
+  // before its pause, or was about to, is older than what the caller has seen.
+  void AgentThatWakesShowsNoOlderState() {
+    constexpr int kPauses = 12;
+    // So slow that a poll is under way at most times.
+    for (std::uint32_t i = 0; i < kAgents; ++i) {
+      this->cluster->GetServer(kFirstAgent + i).service_time =
+          milliseconds(400);
+    }
+    FakeCaller& caller = this->cluster->AddCaller();
+    caller.Observe(kClaims, "jobs");
+    for (int i = 0; i < kPauses; ++i) {
+      this->ChangeDataFor(seconds(3) + milliseconds(37) * i);
+      const std::uint32_t owner = this->FindOwner();
+      this->cluster->Pause(owner);
+      this->ChangeDataFor(seconds(80));
+      this->cluster->Wake(owner);
+      this->ChangeDataFor(seconds(10));
+    }
+    CPPUNIT_ASSERT(caller.Sessions().at(0).registrations > 1);
+    CPPUNIT_ASSERT_EQUAL(0, caller.Sessions().at(0).went_back);
+  }
+
  private:
+  void ChangeDataFor(Duration time) {
+    constexpr Duration kStep = milliseconds(100);
+    for (const TimePoint end = this->cluster->Now() + time;
+         this->cluster->Now() < end; this->cluster->RunFor(kStep)) {
+      this->cluster->GetLedger().data_version["workshops/claims"] += 1;
+    }
+  }
+
+  // The agent that notified last, by its count of open sessions.
+  std::uint32_t FindOwner() {
+    for (std::uint32_t node = kFirstAgent; node < kFirstAgent + kAgents;
+         ++node) {
+      const auto dump = this->cluster->GetProcess(node).agent->Dump();
+      if (dump["sessions"]["open"].get<int>() > 0) {
+        return node;
+      }
+    }
+    return kFirstAgent;
+  }
+
   std::unique_ptr<Cluster> cluster;
 };
 
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -123,6 +123,13 @@
   this->Begin(process);
 }
 
+// As the shell does, microseconds since the epoch; rises with each start.
+Incarnation Cluster::WallClock(const Process& process) const {
+  const auto now = std::chrono::duration_cast<std::chrono::microseconds>(
+      this->Now().time_since_epoch());
+  return Incarnation{static_cast<std::uint64_t>(now.count()) + process.starts};
+}
+
 void Cluster::Begin(Process& process) {
   NodeSettings settings;
   settings.node = process.address.node;
@@ -138,7 +145,7 @@
   }
   CoreDependencies dependencies;
   dependencies.parse_contract = this->platform.Parser();
-  dependencies.incarnation = Incarnation{process.starts};
+  dependencies.incarnation = this->WallClock(process);
   dependencies.seed = this->link.GetRandom().Next();
   dependencies.policy = this->policy;
   for (std::uint8_t& byte : dependencies.ticket_key) {
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -33,7 +33,7 @@
   std::unique_ptr<Agent> agent;
   BalancerInbox balancer_inbox;
   AgentInbox agent_inbox;
-  std::uint64_t starts = 0;  // its incarnation follows from this
+  std::uint64_t starts = 0;
   Duration clock_offset{0};  // of this process' own time
   TimePoint next_tick;
   TimePoint running_since;  // last start or wake
@@ -100,6 +100,7 @@
   std::function<void(const Process&, const ServerCall&)> on_server_call;
 
  private:
+  Incarnation WallClock(const Process& process) const;
   void Begin(Process& process);
   void TickProcess(Process& process);
   void TickBalancer(Process& process, TimePoint now);
