A block's GET that comes twice at once is answered once

Shown by a verbose client while both agents stood still for 3.5 s: the repeat of message 0x7b64 is sent, both copies wait at the agent, both are answered in the same millisecond, and the body has 1,049,600 bytes. The fabric that doubles 30 % of the datagrams gives 1,050,624 and 1,053,696 bytes with no repeat, so the client itself does not tell copies.

Ruled out: blocks of two bodies (one ETag), the fabric of this scenario (it doubles nothing), the block's offset (the extra bytes equal the repeated block).

Change: an agent that answered a block's GET leaves a copy of the same message unanswered for 1 s. A lost answer costs no more than before: the client's next repeat comes after 4 s.

Tried and dropped: the last message alone (a copy that walked over the other agent came 14 ms and one request later), 32 messages.

--- a/src/core/agent/agent.cc
+++ b/src/core/agent/agent.cc
@@ -513,6 +513,10 @@
   if (body == nullptr) {
     return false;
   }
+  if (!this->bodies.NoteAnswer(this->context.now, request.caller, message)) {
+    this->context.metrics.Count("requests_repeated_total");
+    return true;
+  }
   Outcome outcome;
   outcome.body = body;
   this->replier.Send(MakeOrigin(request), MakeOutcomeReply(message, outcome));
--- a/src/core/agent/body_store.cc
+++ b/src/core/agent/body_store.cc
@@ -80,6 +80,33 @@
   return found->second.body;
 }
 
+bool BodyStore::NoteAnswer(TimePoint now,
+                           const Endpoint& caller,
+                           const CoapMessage& request) {
+  const auto found = this->pins.find(MakeKey(caller, request));
+  if (found == this->pins.end()) {
+    return true;
+  }
+  std::vector<Answered>& answered = found->second.answered;
+  const auto is_recent = [now](const Answered& entry) {
+    return now - entry.at < kRepeatSilence;
+  };
+  answered.erase(answered.begin(),
+                 std::find_if(answered.begin(), answered.end(), is_recent));
+  const bool repeated = std::any_of(
+      answered.begin(), answered.end(), [&request](const Answered& entry) {
+        return entry.message_id == request.message_id;
+      });
+  if (repeated) {
+    return false;
+  }
+  if (answered.size() >= kAnswersNoted) {
+    answered.erase(answered.begin());
+  }
+  answered.push_back({request.message_id, now});
+  return true;
+}
+
 void BodyStore::Expire(TimePoint now) {
   while (!this->order.empty() &&
          now - this->order.front().last_use > kBodyLifetime) {
--- a/src/core/agent/body_store.h
+++ b/src/core/agent/body_store.h
@@ -5,11 +5,13 @@
 // keeps the body that its first block came from, so that blocks of two
 // versions are never mixed; a body that many callers fetch is shared.
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -38,6 +40,12 @@
 
 inline constexpr std::size_t kMostBodyBytes = 16U << 20U;
 inline constexpr Duration kBodyLifetime = std::chrono::seconds(30);
+// A repeat so soon after the answer was sent cannot be due to its loss: callers
+// wait for ACK_TIMEOUT, 2 s, before the first one (RFC 7252, 4.8).
+inline constexpr Duration kRepeatSilence = std::chrono::seconds(1);
+// A copy that took the longer way arrives after its successors' answers; some
+// 1,000 a second go to a caller on loopback.
+inline constexpr std::size_t kAnswersNoted = 256;
 
 class BodyStore {
  public:
@@ -52,6 +60,14 @@
                const Endpoint& caller,
                const CoapMessage& request);
 
+  // Notes that `request`, for a block of a kept body, is answered now. Returns
+  // false if it repeats the one that was answered within kRepeatSilence: the
+  // answer is on its way, and stock clients keep a block that comes twice
+  // twice.
+  bool NoteAnswer(TimePoint now,
+                  const Endpoint& caller,
+                  const CoapMessage& request);
+
   // Drops idle bodies.
   void Expire(TimePoint now);
 
@@ -60,10 +76,15 @@
 
  private:
   using Key = std::tuple<Endpoint, std::string, std::string>;
+  struct Answered {
+    std::uint16_t message_id = 0;
+    TimePoint at{};
+  };
   struct Pin : boost::intrusive::list_base_hook<> {
     Key key;
     BodyPtr body;
     TimePoint last_use;
+    std::vector<Answered> answered;  // within kRepeatSilence, oldest first
   };
   using Order = boost::intrusive::list<Pin>;
 
--- /dev/null
+++ b/tests/core/test_body_store.cc
@@ -0,0 +1,67 @@
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <cstddef>
+
+#include "src/core/agent/body_store.h"
+
+namespace cactuscross::testing {
+namespace {
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+constexpr Endpoint kCaller{0x0A000009, 4000};
+constexpr Endpoint kOther{0x0A000009, 4001};
+
+CoapMessage MakeRequest(std::uint16_t message_id) {
+  CoapMessage request;
+  request.code = CoapCode::kGet;
+  request.message_id = message_id;
+  request.uri_path = "diagrams/3";
+  return request;
+}
+
+// An agent that stood still finds a request and its repeat in its queue. A
+// stock client appends a block that comes twice twice.
+class BodyStoreTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(BodyStoreTest);
+  CPPUNIT_TEST(RepeatRightAfterTheAnswerIsSilent);
+  CPPUNIT_TEST(RepeatAfterALostAnswerIsAnswered);
+  CPPUNIT_TEST(AnswersAreNotedPerCaller);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    const BodyPtr body(new Body(Bytes(std::size_t{5000}, 'x')));
+    for (const Endpoint& caller : {kCaller, kOther}) {
+      this->store.Keep(kStart, caller, MakeRequest(1), body);
+    }
+  }
+
+  void RepeatRightAfterTheAnswerIsSilent() {
+    CPPUNIT_ASSERT(this->store.NoteAnswer(kStart, kCaller, MakeRequest(2)));
+    CPPUNIT_ASSERT(!this->store.NoteAnswer(kStart, kCaller, MakeRequest(2)));
+    CPPUNIT_ASSERT(this->store.NoteAnswer(kStart, kCaller, MakeRequest(3)));
+    // The repeat may come after the answer to the next request.
+    CPPUNIT_ASSERT(!this->store.NoteAnswer(kStart, kCaller, MakeRequest(2)));
+  }
+
+  void RepeatAfterALostAnswerIsAnswered() {
+    this->store.NoteAnswer(kStart, kCaller, MakeRequest(2));
+    CPPUNIT_ASSERT(this->store.NoteAnswer(kStart + kRepeatSilence, kCaller,
+                                          MakeRequest(2)));
+  }
+
+  void AnswersAreNotedPerCaller() {
+    this->store.NoteAnswer(kStart, kCaller, MakeRequest(2));
+    CPPUNIT_ASSERT(this->store.NoteAnswer(kStart, kOther, MakeRequest(2)));
+  }
+
+ private:
+  BodyStore store;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BodyStoreTest);
+
+}  // namespace
+}  // namespace cactuscross::testing
