Trial: an agent does not send a search's packet back

A search sends the flow's packet to 47 agents, each of which sent it back whole: with 900 bytes some 85 KB for one search, so 15 a second fill the link.

Change: the notice of a search carries no packet; the balancer has it.

--- a/src/core/flow/flow_agent.cc
+++ b/src/core/flow/flow_agent.cc
@@ -56,6 +56,7 @@
               bool with_packet);
   OutgoingNotice MakeNotice(std::uint32_t balancer, NoticeKind kind) const;
   ServerLoad Load() const;
+  void NotifyNotHeld(std::uint32_t balancer, const FlowPacket& packet);
   void NoteBalancer(std::uint32_t balancer);
   FlowEvent& Report(FlowEventKind kind);
 
@@ -170,7 +171,7 @@
     this->flows.Erase(packet.flow);
     return;
   }
-  this->Notify(packet.mark.balancer, NoticeKind::kNotHeld, packet, true);
+  this->NotifyNotHeld(packet.mark.balancer, packet);
 }
 
 void FlowAgent::Impl::ReadFromBalancers(
@@ -209,7 +210,7 @@
     return;
   }
   if (!BelongsTo(*flow, packet)) {
-    this->Notify(packet.sender, NoticeKind::kNotHeld, packet, true);
+    this->NotifyNotHeld(packet.sender, packet);
     return;
   }
   this->flows.NoteFromClient(this->now, *flow, packet);
@@ -224,7 +225,7 @@
   const bool lately = disowned != this->disowned.end() &&
                       this->now - disowned->second < kDisownedLife;
   if (this->complete || lately) {
-    this->Notify(packet.sender, NoticeKind::kNotHeld, packet, true);
+    this->NotifyNotHeld(packet.sender, packet);
     return;
   }
   // This process does not know all flows of its server: the server decides. It
@@ -327,6 +328,14 @@
   this->outbox.notices.push_back(std::move(outgoing));
 }
 
+// A balancer that searches has kept the packet. One that was mistaken has not,
+// and needs it back to search.
+void FlowAgent::Impl::NotifyNotHeld(std::uint32_t balancer,
+                                    const FlowPacket& packet) {
+  this->Notify(balancer, NoticeKind::kNotHeld, packet,
+               packet.mark.purpose != MarkPurpose::kSearch);
+}
+
 void FlowAgent::Impl::NoteBalancer(std::uint32_t balancer) {
   if (this->balancers.size() < kMaxBalancers ||
       this->balancers.count(balancer) > 0) {
--- a/tests/flow/test_flow_parts.cc
+++ b/tests/flow/test_flow_parts.cc
@@ -236,13 +236,21 @@
     FlowAgent restarted(settings);
     settings.node.first_start = true;
     FlowAgent first(settings);
+    const Bytes bytes(100, 'x');
     FlowPacket packet = MakePacket();
+    packet.bytes = bytes;
     packet.mark.purpose = MarkPurpose::kSearch;
     CPPUNIT_ASSERT_EQUAL(
         std::size_t{1}, this->FromBalancer(restarted, packet).to_server.size());
     const FlowAgentOutbox outbox = this->FromBalancer(first, packet);
     CPPUNIT_ASSERT(outbox.to_server.empty());
     CPPUNIT_ASSERT(NoticeKind::kNotHeld == outbox.notices[0].notice.kind);
+    // Who searches still has the packet; who was mistaken does not.
+    CPPUNIT_ASSERT(outbox.notices[0].notice.packet.empty());
+    packet.mark.purpose = MarkPurpose::kKnown;
+    CPPUNIT_ASSERT(!this->FromBalancer(first, packet)
+                        .notices[0]
+                        .notice.packet.empty());
     packet.mark.service_tag ^= 1U;
     CPPUNIT_ASSERT(NoticeKind::kWrongService ==
                    this->FromBalancer(first, packet).notices[0].notice.kind);
