Searches and openings slow down while most questions go unanswered

Each flow that nobody holds is searched at 47 agents; answers that wait in the full link come after the 60 ms of a step, the search gives up, and the client's next packet starts it anew. Openings go to six servers in turn for the same reason, and each of the six answers.

Change: (1) searches have a window of bytes under way, halved when most of a step's servers do not answer; what does not fit waits its turn; (2) what servers denied is kept for 4 s, so that a search which begins anew asks the others only; (3) the wait for an answer doubles while most questions go unanswered, from 60 ms up to 480 ms. Searches and what a tick sends have files of their own.

--- a/src/core/flow/flow_balancer.cc
+++ b/src/core/flow/flow_balancer.cc
@@ -3,15 +3,16 @@
 #include <algorithm>
 #include <array>
 #include <string>
-#include <unordered_map>
 #include <utility>
 
 #include "src/core/common/metric_set.h"
+#include "src/core/flow/answer_patience.h"
 #include "src/core/flow/early_packets.h"
 #include "src/core/flow/flow_cache.h"
+#include "src/core/flow/flow_searcher.h"
+#include "src/core/flow/flow_sender.h"
 #include "src/core/flow/opening_table.h"
 #include "src/core/flow/placement.h"
-#include "src/core/flow/search_table.h"
 #include "src/core/flow/store_view.h"
 #include "src/core/flow/view_gossip.h"
 
@@ -39,8 +40,6 @@
 // A flow is found to be lost after a retransmission or more; the client repeats
 // the request at once, and within this time.
 constexpr Duration kResetRequestAge{600000};
-constexpr Duration kResetMemory{100000};
-constexpr std::size_t kMaxResetClients = 4096;
 
 }  // namespace
 
@@ -49,7 +48,9 @@
   Impl(const FlowBalancerSettings& settings, std::uint64_t seed)
       : settings(settings),
         view(seed, settings.node.flow_max_age),
-        gossip(settings) {}
+        gossip(settings),
+        sender(this->settings),
+        searcher(view, gossip, cache, sender, metrics) {}
 
   FlowBalancerOutbox Tick(TimePoint now, const FlowBalancerInbox& inbox);
   void SetSeeds(const std::vector<Endpoint>& seeds) {
@@ -64,7 +65,6 @@
   void ReadPackets(const std::vector<FlowPacket>& packets);
   void ContinueOpenings();
   void ContinueWaiting();
-  void ContinueSearches();
   void QueryAgents();
   void UpdateReadiness(bool stop_requested);
 
@@ -89,46 +89,33 @@
   void AskNextServer(Opening& opening, std::string_view reason);
   void RefuseOpening(const Opening& opening, std::string_view reason);
 
-  void BeginSearch(const FlowKey& flow,
-                   const std::vector<ServiceShare>& shares,
-                   ByteView packet,
-                   std::uint32_t acknowledgement);
-  void AskNextStep(FlowSearch& search);
-  // All servers were asked, and have answered or had the time for it.
-  void EndSearch(FlowSearch& search);
-  // True if no server that was asked can still hold the flow.
-  bool NobodyHolds(const FlowSearch& search);
-
-  void Forward(const ServerEntry& entry, MarkPurpose purpose, Bytes bytes);
-  void Reset(const FlowKey& flow, std::uint32_t sequence);
-  FlowEvent& Report(FlowEventKind kind, const FlowKey& flow);
   std::string NameOfServer(ServerKey key);
 
   const FlowBalancerSettings settings;
+  MetricSet metrics;
   StoreView view;
   ViewGossip gossip;
   FlowCache cache;
   OpeningTable openings;
-  SearchTable searches;
+  AnswerPatience patience;
+  FlowSender sender;
+  FlowSearcher searcher;
   EarlyPackets early_packets;
-  // Clients whose flows were reset a moment ago, and when.
-  std::unordered_map<std::uint32_t, TimePoint> reset_clients;
-  MetricSet metrics;
   bool ready = false;
   bool stopping = false;
   TimePoint stop_at;
   TimePoint now;
-  FlowBalancerOutbox outbox;
 };
 
 FlowBalancerOutbox FlowBalancer::Impl::Tick(TimePoint now,
                                             const FlowBalancerInbox& inbox) {
   this->now = now;
-  this->outbox = FlowBalancerOutbox();
+  this->sender.BeginTick(now);
+  FlowBalancerOutbox& outbox = this->sender.Outbox();
   // First, since all later decisions use the view. Gossip goes before the
   // store's answers, which may be newer.
-  this->gossip.Tick(now, inbox.gossip, this->view, this->outbox);
-  this->view.Tick(now, inbox.store_answers, this->outbox);
+  this->gossip.Tick(now, inbox.gossip, this->view, outbox);
+  this->view.Tick(now, inbox.store_answers, outbox);
   // Before packets, which then go by the newest loads and placements.
   this->ReadNotices(inbox.notices);
   this->ReadEarlyPackets();
@@ -136,14 +123,14 @@
   this->ContinueOpenings();
   // After the packets: a new request goes before those that wait.
   this->ContinueWaiting();
-  this->ContinueSearches();
+  this->searcher.Continue(now, this->patience.Current());
   this->QueryAgents();
   this->UpdateReadiness(inbox.stop_requested);
   this->cache.Expire(now);
-  for (const FlowEvent& event : this->outbox.events) {
+  for (const FlowEvent& event : outbox.events) {
     this->metrics.Count("flow_events", "event", NameOf(event.kind));
   }
-  return std::move(this->outbox);
+  return std::move(outbox);
 }
 
 void FlowBalancer::Impl::ReadNotices(const std::vector<FlowNotice>& notices) {
@@ -164,7 +151,7 @@
     }
     return;
   }
-  servers.NoteNotice(this->now, notice, this->outbox.events);
+  servers.NoteNotice(this->now, notice, this->sender.Outbox().events);
   const ServerEntry* entry =
       servers.FindByHost(notice.sender, notice.service_tag);
   if (entry == nullptr) {
@@ -199,11 +186,12 @@
     }
     return;
   }
-  FlowEvent& event = this->Report(FlowEventKind::kAccepted, notice.flow);
+  FlowEvent& event = this->sender.Report(FlowEventKind::kAccepted, notice.flow);
   event.server = this->NameOfServer(server);
   event.tries = static_cast<std::uint32_t>(opening->tried.size());
   event.age = this->now - opening->began_at;
   this->metrics.Observe("flow_opening_ms", event.age->count() / 1000.0);
+  this->patience.NoteAnswered(this->now);
   this->cache.Put(this->now, notice.flow, server);
   this->openings.Erase(notice.flow);
 }
@@ -222,33 +210,11 @@
 void FlowBalancer::Impl::OnHeld(const FlowNotice& notice, ServerKey server) {
   this->cache.Put(this->now, notice.flow, server);
   this->openings.Erase(notice.flow);
-  FlowSearch* search = this->searches.Find(notice.flow);
-  if (search == nullptr) {
-    return;
-  }
-  FlowEvent& event = this->Report(FlowEventKind::kFound, notice.flow);
-  event.server = this->NameOfServer(server);
-  event.tries = static_cast<std::uint32_t>(search->asked);
-  event.age = this->now - search->began_at;
-  // The first packet was sent by the search itself.
-  const ServerEntry* entry = this->view.Servers().Find(server);
-  for (std::size_t i = 1; entry != nullptr && i < search->packets.size(); ++i) {
-    this->Forward(*entry, MarkPurpose::kKnown, std::move(search->packets[i]));
-  }
-  this->searches.Erase(notice.flow);
+  this->searcher.NoteHeld(this->now, notice, server);
 }
 
 void FlowBalancer::Impl::OnNotHeld(const FlowNotice& notice, ServerKey server) {
-  FlowSearch* search = this->searches.Find(notice.flow);
-  if (search != nullptr) {
-    NoteNotHeld(*search, server);
-    if (search->AllAnswered()) {
-      if (search->AllAsked()) {
-        this->EndSearch(*search);
-      } else {
-        this->AskNextStep(*search);
-      }
-    }
+  if (this->searcher.NoteNotHeld(this->now, notice, server)) {
     return;
   }
   // The cache was wrong, or the server has lost the flow.
@@ -258,11 +224,8 @@
   this->cache.Erase(notice.flow);
   const auto* shares = this->view.Routes().Find(notice.flow.service_address);
   if (shares != nullptr && !notice.packet.empty()) {
-    this->BeginSearch(notice.flow, *shares, notice.packet,
-                      notice.acknowledgement);
-    if (FlowSearch* begun = this->searches.Find(notice.flow)) {
-      begun->holder_denied = true;
-    }
+    this->searcher.Begin(this->now, notice.flow, *shares, notice.packet,
+                         notice.acknowledgement, true);
   }
 }
 
@@ -310,10 +273,10 @@
     this->metrics.Count("flow_packets_dropped", "reason", "old_view");
     return;
   }
-  FlowEvent& event = this->Report(FlowEventKind::kNoRoute, packet.flow);
+  FlowEvent& event = this->sender.Report(FlowEventKind::kNoRoute, packet.flow);
   event.version = this->view.Routes().Version();
   this->cache.Erase(packet.flow);
-  this->Reset(packet.flow, packet.acknowledgement);
+  this->sender.Reset(packet.flow, packet.acknowledgement);
 }
 
 void FlowBalancer::Impl::OnOpening(const FlowPacket& packet,
@@ -325,17 +288,18 @@
         opening->waiting ? nullptr
                          : this->view.Servers().Find(opening->tried.back());
     if (entry != nullptr) {
-      this->Forward(*entry, MarkPurpose::kOpening, opening->packet);
+      this->sender.Forward(*entry, MarkPurpose::kOpening, opening->packet);
     }
     return;
   }
   const ServerKey holder = this->cache.Use(this->now, packet.flow, false);
   const ServerEntry* entry = this->view.Servers().Find(holder);
   if (entry != nullptr && !entry->load.down && !entry->doubted) {
-    this->Forward(*entry, MarkPurpose::kOpening,
-                  Bytes(packet.bytes.begin(), packet.bytes.end()));
+    this->sender.Forward(*entry, MarkPurpose::kOpening,
+                         Bytes(packet.bytes.begin(), packet.bytes.end()));
     return;
   }
+  this->searcher.Forget(packet.flow);
   Opening* opening = this->openings.Add(packet.flow);
   if (opening == nullptr) {
     this->metrics.Count("flow_packets_dropped", "reason", "openings_full");
@@ -350,10 +314,9 @@
 
 TimePoint FlowBalancer::Impl::RequestBegan(const FlowPacket& packet,
                                            TimePoint arrived_at) const {
-  const auto reset = this->reset_clients.find(packet.flow.client.address);
-  if (reset != this->reset_clients.end()) {
+  if (const auto reset = this->sender.ResetAt(packet.flow.client.address)) {
     // It repeats a request of the flow that was reset.
-    return reset->second - kResetRequestAge;
+    return *reset - kResetRequestAge;
   }
   const std::size_t copy =
       std::min<std::size_t>(packet.opening_copy, kCopyAges.size() - 1);
@@ -377,7 +340,7 @@
   if (placement.status == PlacementStatus::kSaturated) {
     if (!opening.waiting) {
       opening.waiting = true;
-      this->Report(FlowEventKind::kWaiting, opening.flow).tries =
+      this->sender.Report(FlowEventKind::kWaiting, opening.flow).tries =
           static_cast<std::uint32_t>(opening.tried.size());
     }
     return;
@@ -385,7 +348,7 @@
   opening.waiting = false;
   const ServerKey key = placement.server;
   ServerEntry& entry = *servers.Find(key);
-  FlowEvent& event = this->Report(
+  FlowEvent& event = this->sender.Report(
       opening.tried.empty() ? FlowEventKind::kPlaced : FlowEventKind::kReplaced,
       opening.flow);
   event.server = entry.server.name;
@@ -399,25 +362,23 @@
   ServerTable::NotePlaced(entry);
   opening.tried.push_back(key);
   opening.asked_at = this->now;
-  this->Forward(entry, MarkPurpose::kOpening, opening.packet);
+  this->sender.Forward(entry, MarkPurpose::kOpening, opening.packet);
 }
 
 void FlowBalancer::Impl::RefuseOpening(const Opening& opening,
                                        std::string_view reason) {
   const FlowKey flow = opening.flow;
-  FlowEvent& event = this->Report(FlowEventKind::kRefused, flow);
+  FlowEvent& event = this->sender.Report(FlowEventKind::kRefused, flow);
   event.reason = reason;
   event.tries = static_cast<std::uint32_t>(opening.tried.size());
   event.age = this->now - opening.began_at;
-  this->Reset(flow, 0);
+  this->sender.Reset(flow, 0);
   this->openings.Erase(flow);
 }
 
 void FlowBalancer::Impl::OnOther(const FlowPacket& packet,
                                  const std::vector<ServiceShare>& shares) {
-  if (FlowSearch* search = this->searches.Find(packet.flow)) {
-    KeepPacket(*search, packet.bytes);
-    search->last_acknowledgement = packet.acknowledgement;
+  if (this->searcher.Keep(packet)) {
     return;
   }
   if (const Opening* opening = this->openings.Find(packet.flow)) {
@@ -430,85 +391,21 @@
   const ServerKey holder =
       this->cache.Use(this->now, packet.flow, packet.closing || packet.reset);
   if (const ServerEntry* entry = this->view.Servers().Find(holder)) {
-    this->Forward(*entry, MarkPurpose::kKnown,
-                  Bytes(packet.bytes.begin(), packet.bytes.end()));
+    this->sender.Forward(*entry, MarkPurpose::kKnown,
+                         Bytes(packet.bytes.begin(), packet.bytes.end()));
     return;
   }
-  this->BeginSearch(packet.flow, shares, packet.bytes, packet.acknowledgement);
-}
-
-void FlowBalancer::Impl::BeginSearch(const FlowKey& flow,
-                                     const std::vector<ServiceShare>& shares,
-                                     ByteView packet,
-                                     std::uint32_t acknowledgement) {
-  FlowSearch* search = this->searches.Add(flow);
-  if (search == nullptr) {
-    this->metrics.Count("flow_packets_dropped", "reason", "searches_full");
-    return;
-  }
-  for (const ServiceShare& share : shares) {
-    const std::vector<ServerKey> order =
-        OrderServers(this->view.Servers(), share.service, flow);
-    search->order.insert(search->order.end(), order.begin(), order.end());
-  }
-  KeepPacket(*search, packet);
-  search->last_acknowledgement = acknowledgement;
-  search->began_at = this->now;
-  this->Report(FlowEventKind::kSearching, flow).tries =
-      static_cast<std::uint32_t>(search->order.size());
-  this->AskNextStep(*search);
-}
-
-void FlowBalancer::Impl::AskNextStep(FlowSearch& search) {
-  const std::size_t step = NextStep(search);
-  search.asked_at = this->now;
-  for (std::size_t i = 0; i < step; ++i) {
-    // A server may have been forgotten since the order was made.
-    if (const ServerEntry* entry =
-            this->view.Servers().Find(search.order[search.asked + i])) {
-      this->Forward(*entry, MarkPurpose::kSearch, search.packets.front());
-    }
-  }
-  search.asked += step;
-}
-
-void FlowBalancer::Impl::EndSearch(FlowSearch& search) {
-  const FlowKey flow = search.flow;
-  // While the store is away, a server that is not known here may hold a flow
-  // whose holder was not known either.
-  const bool view_is_whole = this->view.IsLoaded() &&
-                             this->gossip.IsCurrent(this->now, this->view) &&
-                             this->gossip.IsSettled(this->now);
-  const bool lost =
-      this->NobodyHolds(search) && (view_is_whole || search.holder_denied);
-  FlowEvent& event = this->Report(
-      lost ? FlowEventKind::kLost : FlowEventKind::kSearchGaveUp, flow);
-  event.tries = static_cast<std::uint32_t>(search.asked);
-  event.detail = std::to_string(search.answered.size()) + " answered";
-  event.reason = view_is_whole          ? "view_whole"
-                 : search.holder_denied ? "holder_denied"
-                                        : "view_in_doubt";
-  event.age = this->now - search.began_at;
-  if (lost) {
-    this->Reset(flow, search.last_acknowledgement);
-  }
-  this->searches.Erase(flow);
-}
-
-bool FlowBalancer::Impl::NobodyHolds(const FlowSearch& search) {
-  return std::all_of(
-      search.order.begin(), search.order.end(), [&](ServerKey key) {
-        const ServerEntry* entry = this->view.Servers().Find(key);
-        return search.HasAnswered(key) || entry == nullptr ||
-               IsGone(this->now, *entry);
-      });
+  this->searcher.Begin(this->now, packet.flow, shares, packet.bytes,
+                       packet.acknowledgement, false);
 }
 
 void FlowBalancer::Impl::ContinueOpenings() {
-  for (const FlowKey& flow : this->openings.Overdue(this->now)) {
+  for (const FlowKey& flow :
+       this->openings.Overdue(this->now, this->patience.Current())) {
     Opening& opening = *this->openings.Find(flow);
+    this->patience.NoteUnanswered(this->now);
     this->view.Servers().NoteUnanswered(this->now, opening.tried.back(),
-                                        this->outbox.events);
+                                        this->sender.Outbox().events);
     this->AskNextServer(opening, "no_answer");
   }
 }
@@ -520,23 +417,6 @@
   for (const FlowKey& flow : this->openings.Waiting()) {
     this->AskNextServer(*this->openings.Find(flow), "waited");
   }
-  for (auto entry = this->reset_clients.begin();
-       entry != this->reset_clients.end();) {
-    entry = this->now - entry->second > kResetMemory
-                ? this->reset_clients.erase(entry)
-                : std::next(entry);
-  }
-}
-
-void FlowBalancer::Impl::ContinueSearches() {
-  for (const FlowKey& flow : this->searches.Overdue(this->now)) {
-    FlowSearch& search = *this->searches.Find(flow);
-    if (search.AllAsked()) {
-      this->EndSearch(search);
-    } else {
-      this->AskNextStep(search);
-    }
-  }
 }
 
 void FlowBalancer::Impl::QueryAgents() {
@@ -556,7 +436,7 @@
     query.host = entry.server.host;
     query.notice.kind = NoticeKind::kQuery;
     query.notice.service_tag = ServiceTag(entry.server.service);
-    this->outbox.notices.push_back(std::move(query));
+    this->sender.Outbox().notices.push_back(std::move(query));
   }
 }
 
@@ -567,7 +447,7 @@
     FlowEvent event;
     event.kind = FlowEventKind::kStopping;
     event.tries = static_cast<std::uint32_t>(this->cache.Size());
-    this->outbox.events.push_back(std::move(event));
+    this->sender.Outbox().events.push_back(std::move(event));
   }
   const bool ready = this->view.IsLoaded() && !this->stopping;
   if (ready != this->ready) {
@@ -576,40 +456,15 @@
     event.kind = ready ? FlowEventKind::kReady : FlowEventKind::kNotReady;
     event.version = this->view.Routes().Version();
     event.tries = static_cast<std::uint32_t>(this->view.Servers().All().size());
-    this->outbox.events.push_back(std::move(event));
+    this->sender.Outbox().events.push_back(std::move(event));
   }
-  this->outbox.ready = ready;
-  this->outbox.may_exit =
+  this->sender.Outbox().ready = ready;
+  this->sender.Outbox().may_exit =
       this->stopping &&
       this->now - this->stop_at >=
           std::min(kStopLinger, this->settings.node.stop_bound / 2);
 }
 
-void FlowBalancer::Impl::Forward(const ServerEntry& entry,
-                                 MarkPurpose purpose,
-                                 Bytes bytes) {
-  FlowForward forward;
-  forward.destination = {entry.server.host, this->settings.node.data.port};
-  forward.mark = {purpose, ServiceTag(entry.server.service),
-                  this->settings.node.data.address};
-  forward.bytes = std::move(bytes);
-  this->outbox.forwards.push_back(std::move(forward));
-}
-
-void FlowBalancer::Impl::Reset(const FlowKey& flow, std::uint32_t sequence) {
-  if (this->reset_clients.size() < kMaxResetClients) {
-    this->reset_clients[flow.client.address] = this->now;
-  }
-  this->outbox.resets.push_back({flow, sequence});
-}
-
-FlowEvent& FlowBalancer::Impl::Report(FlowEventKind kind, const FlowKey& flow) {
-  FlowEvent& event = this->outbox.events.emplace_back();
-  event.kind = kind;
-  event.flow = flow;
-  return event;
-}
-
 std::string FlowBalancer::Impl::NameOfServer(ServerKey key) {
   const ServerEntry* entry = this->view.Servers().Find(key);
   return entry == nullptr ? std::string() : entry->server.name;
@@ -623,7 +478,11 @@
   };
   gauge("flow_cache_entries", static_cast<double>(this->cache.Size()));
   gauge("flow_openings", static_cast<double>(this->openings.Size()));
-  gauge("flow_searches", static_cast<double>(this->searches.Size()));
+  gauge("flow_searches", static_cast<double>(this->searcher.Size()));
+  gauge("flow_answer_patience_seconds",
+        std::chrono::duration<double>(this->patience.Current()).count());
+  gauge("flow_search_window_bytes",
+        static_cast<double>(this->searcher.Pace().Window()));
   gauge("flow_servers", static_cast<double>(this->view.Servers().All().size()));
   gauge("flow_routes", static_cast<double>(this->view.Routes().Size()));
   gauge("flow_routes_version",
--- /dev/null
+++ b/src/core/flow/flow_sender.h
@@ -0,0 +1,43 @@
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_FLOW_SENDER_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_FLOW_SENDER_H_
+
+// What a balancer sends and reports in a tick.
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+
+#include "cactuscross/flow_balancer.h"
+#include "cactuscross/flow_event.h"
+#include "src/core/flow/server_table.h"
+
+namespace cactuscross {
+
+class FlowSender {
+ public:
+  explicit FlowSender(const FlowBalancerSettings& settings)
+      : settings(settings) {}
+
+  void BeginTick(TimePoint tick_time);
+
+  void Forward(const ServerEntry& entry, MarkPurpose purpose, Bytes bytes);
+  // Ends `flow` at its client; `sequence` is what the client acknowledged last.
+  void Reset(const FlowKey& flow, std::uint32_t sequence);
+  FlowEvent& Report(FlowEventKind kind, const FlowKey& flow);
+
+  // When a flow of this client was reset; nullopt if not within moments.
+  std::optional<TimePoint> ResetAt(std::uint32_t client_address) const;
+
+  FlowBalancerOutbox& Outbox() { return this->outbox; }
+
+ private:
+  const FlowBalancerSettings& settings;
+  // Clients whose flows were reset a moment ago, and when.
+  std::unordered_map<std::uint32_t, TimePoint> reset_clients;
+  TimePoint now;
+  FlowBalancerOutbox outbox;
+};
+
+}  // namespace cactuscross
+
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_FLOW_SENDER_H_
--- a/src/core/flow/opening_table.cc
+++ b/src/core/flow/opening_table.cc
@@ -9,10 +9,6 @@
 // and a client gives up after 1.4 s.
 constexpr std::size_t kMaxOpenings = 4096;
 
-// A server grants an opening within a millisecond; the rest is the way there
-// and back, and a wait for the processor of two small hosts.
-constexpr Duration kPatience{60000};
-
 // A client gives an opening up after 1.4 s; it is told before, so that it can
 // try again.
 constexpr Duration kMostWait{1200000};
@@ -33,10 +29,11 @@
   return &opening;
 }
 
-std::vector<FlowKey> OpeningTable::Overdue(TimePoint now) const {
+std::vector<FlowKey> OpeningTable::Overdue(TimePoint now,
+                                           Duration patience) const {
   std::vector<FlowKey> overdue;
   for (const auto& [flow, opening] : this->openings) {
-    if (!opening.waiting && now - opening.asked_at >= kPatience) {
+    if (!opening.waiting && now - opening.asked_at >= patience) {
       overdue.push_back(flow);
     }
   }
--- a/src/core/flow/opening_table.h
+++ b/src/core/flow/opening_table.h
@@ -35,8 +35,8 @@
   void Erase(const FlowKey& flow) { this->openings.erase(flow); }
   std::size_t Size() const { return this->openings.size(); }
 
-  // Flows whose last server has not answered in time.
-  std::vector<FlowKey> Overdue(TimePoint now) const;
+  // Flows whose last server has not answered within `patience`.
+  std::vector<FlowKey> Overdue(TimePoint now, Duration patience) const;
 
   // Flows that wait for a server, newest request first.
   std::vector<FlowKey> Waiting() const;
--- a/src/core/flow/search_table.cc
+++ b/src/core/flow/search_table.cc
@@ -15,10 +15,6 @@
 // Later steps ask more at once, since every step costs the client a round trip.
 constexpr std::size_t kLaterStep = 16;
 
-// The way there and back, a server that returns the packet, and a wait for the
-// processor of two small hosts.
-constexpr Duration kStepPatience{60000};
-
 }  // namespace
 
 FlowSearch* SearchTable::Find(const FlowKey& flow) {
@@ -35,10 +31,11 @@
   return &search;
 }
 
-std::vector<FlowKey> SearchTable::Overdue(TimePoint now) const {
+std::vector<FlowKey> SearchTable::Overdue(TimePoint now,
+                                          Duration patience) const {
   std::vector<FlowKey> overdue;
   for (const auto& [flow, search] : this->searches) {
-    if (now - search.asked_at >= kStepPatience) {
+    if (!search.waiting && now - search.asked_at >= patience) {
       overdue.push_back(flow);
     }
   }
@@ -61,6 +58,15 @@
   }
 }
 
+void RemoveDenied(FlowSearch& search, const std::vector<ServerKey>& servers) {
+  const auto denied = [&servers](ServerKey key) {
+    return std::find(servers.begin(), servers.end(), key) != servers.end();
+  };
+  search.order.erase(
+      std::remove_if(search.order.begin(), search.order.end(), denied),
+      search.order.end());
+}
+
 std::size_t NextStep(const FlowSearch& search) {
   const std::size_t step = search.asked == 0 ? kFirstStep : kLaterStep;
   return std::min(step, search.order.size() - search.asked);
--- a/src/core/flow/search_table.h
+++ b/src/core/flow/search_table.h
@@ -22,6 +22,9 @@
   std::uint32_t last_acknowledgement = 0;  // of the client
   TimePoint began_at;
   TimePoint asked_at;
+  std::size_t last_step = 0;    // servers asked at `asked_at`
+  std::size_t outstanding = 0;  // of those: have not answered
+  bool waiting = false;         // for its turn to ask the next ones
   // The server that held the flow has said that it holds it no more.
   bool holder_denied = false;
 
@@ -41,8 +44,8 @@
   void Erase(const FlowKey& flow) { this->searches.erase(flow); }
   std::size_t Size() const { return this->searches.size(); }
 
-  // Searches whose last servers have not all answered in time.
-  std::vector<FlowKey> Overdue(TimePoint now) const;
+  // Searches whose last servers have not all answered within `patience`.
+  std::vector<FlowKey> Overdue(TimePoint now, Duration patience) const;
 
  private:
   std::unordered_map<FlowKey, FlowSearch, FlowKeyHash> searches;
@@ -54,6 +57,9 @@
 // Notes that `server` does not hold the flow.
 void NoteNotHeld(FlowSearch& search, ServerKey server);
 
+// Takes servers that are known not to hold the flow out of the order.
+void RemoveDenied(FlowSearch& search, const std::vector<ServerKey>& servers);
+
 // How many servers are asked at once next.
 std::size_t NextStep(const FlowSearch& search);
 
--- a/tests/flow/test_flow_parts.cc
+++ b/tests/flow/test_flow_parts.cc
@@ -248,9 +248,8 @@
     // Who searches still has the packet; who was mistaken does not.
     CPPUNIT_ASSERT(outbox.notices[0].notice.packet.empty());
     packet.mark.purpose = MarkPurpose::kKnown;
-    CPPUNIT_ASSERT(!this->FromBalancer(first, packet)
-                        .notices[0]
-                        .notice.packet.empty());
+    CPPUNIT_ASSERT(
+        !this->FromBalancer(first, packet).notices[0].notice.packet.empty());
     packet.mark.service_tag ^= 1U;
     CPPUNIT_ASSERT(NoticeKind::kWrongService ==
                    this->FromBalancer(first, packet).notices[0].notice.kind);
--- a/tests/flow/test_flow_world.cc
+++ b/tests/flow/test_flow_world.cc
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(LossOfPowerWithOldEntries);
   CPPUNIT_TEST(LossOfPowerAfterServersLeft);
   CPPUNIT_TEST(LossOfPowerWithSilentStore);
+  CPPUNIT_TEST(LossOfPowerBehindSlowLinks);
   CPPUNIT_TEST(RemovedRouteIsRefused);
   CPPUNIT_TEST(SlowServerIsRelieved);
   CPPUNIT_TEST_SUITE_END();
@@ -192,6 +193,23 @@
     CheckServed(world.Run(seconds(4)), 0.6, 0.9);
   }
 
+  // Many servers, and balancers whose links are filled by a search for each of
+  // the flows that were lost: 40 packets for one that nobody holds.
+  void LossOfPowerBehindSlowLinks() {
+    FlowWorldShape shape = WorkshopShape(1.6);
+    shape.services[0] = {"desk", 8080, 40, 3, 12};
+    shape.users = 500;
+    FlowWorld world(kSeed, shape);
+    for (std::size_t i = 0; i < shape.balancers; ++i) {
+      world.SlowLink(i, 300000);
+    }
+    CheckServed(world.Run(seconds(2)), 0.95, 0.95);
+    world.PowerOffAll(seconds(1), /*new_names=*/true);
+    world.Run(seconds(2));
+    CheckServed(world.Run(seconds(2)), 0.6, 0.85);
+    CheckServed(world.Run(seconds(2)), 0.95, 0.95);
+  }
+
   void RemovedRouteIsRefused() {
     FlowWorld world(kSeed, WorkshopShape(1.0));
     world.Run(seconds(1));
--- a/tests/support/flow_world.cc
+++ b/tests/support/flow_world.cc
@@ -32,6 +32,14 @@
 constexpr std::uint32_t kRouteAddress = 0xC6120001;
 
 // The packets of the model: what a codec would decode, as plain bytes.
+// Each way of a slow link has a queue, as long as it takes this time to send.
+constexpr Duration kLongestLinkQueue{500000};
+constexpr std::size_t kDatagramHeads = 28;  // IP and UDP
+constexpr std::size_t kPacketHead = 36;     // of a flow's packet
+constexpr std::size_t kNoticeBytes = 50;
+
+enum class LinkSide : std::uint8_t { kOut = 0, kIn = 1 };
+
 struct Head {
   FlowKey flow;
   bool from_server;
@@ -75,6 +83,11 @@
   return packet;
 }
 
+// Bytes of a packet on the wire; the model's packets leave their data out.
+std::size_t PacketBytes(const Bytes& bytes) {
+  return kPacketHead + DecodeHead(bytes).data_bytes;
+}
+
 }  // namespace
 
 FlowWorldShape WorkshopShape(double load) {
@@ -153,6 +166,8 @@
     bool in_rotation = false;
     bool stopping = false;
     std::uint64_t start = 0;
+    double bytes_per_second = 0;  // of its link, each way; 0: without bound
+    std::array<TimePoint, 2> link_free{};  // by LinkSide: when it is empty
   };
 
   struct Item {
@@ -192,6 +207,12 @@
   void Readiness();
   void TickAll();
 
+  // Sends over the link of a balancer, which may be slow.
+  void SendOver(std::size_t balancer,
+                LinkSide side,
+                std::size_t bytes,
+                Point peer,
+                const Link::Action& deliver);
   void TickBalancer(std::size_t index, FlowBalancerInbox inbox);
   void TickAgent(std::size_t index, const FlowAgentInbox& inbox);
   void ToClient(const Bytes& bytes);
@@ -368,6 +389,34 @@
   this->world.link.Schedule(kTick, [this] { this->TickAll(); });
 }
 
+void FlowWorld::Impl::SendOver(std::size_t balancer,
+                               LinkSide side,
+                               std::size_t bytes,
+                               Point peer,
+                               const Link::Action& deliver) {
+  Link& link = this->world.link;
+  Balancer& owner = this->balancers[balancer];
+  const Point own{owner.host};
+  const Point from = side == LinkSide::kOut ? own : peer;
+  const Point to = side == LinkSide::kOut ? peer : own;
+  if (owner.bytes_per_second == 0) {
+    link.Send(from, to, Transport::kDatagram, deliver);
+    return;
+  }
+  TimePoint& free = owner.link_free[static_cast<std::size_t>(side)];
+  const TimePoint begin = std::max(free, link.Now());
+  if (begin - link.Now() > kLongestLinkQueue) {
+    return;
+  }
+  free = begin +
+         std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+             static_cast<double>(bytes + kDatagramHeads) /
+             owner.bytes_per_second));
+  link.Schedule(free - link.Now(), [&link, from, to, deliver] {
+    link.Send(from, to, Transport::kDatagram, deliver);
+  });
+}
+
 void FlowWorld::Impl::TickBalancer(std::size_t index, FlowBalancerInbox inbox) {
   Balancer& balancer = this->balancers[index];
   if (balancer.core == nullptr) {
@@ -383,14 +432,15 @@
       if (this->servers[i].host != forward.destination.address) {
         continue;
       }
-      link.Send(own, Point{forward.destination.address}, Transport::kDatagram,
-                [this, i, forward, host = balancer.host] {
-                  FlowAgentInbox inbox;
-                  inbox.from_balancers.push_back(Decode(forward.bytes));
-                  inbox.from_balancers[0].mark = forward.mark;
-                  inbox.from_balancers[0].sender = host;
-                  this->TickAgent(i, inbox);
-                });
+      this->SendOver(index, LinkSide::kOut, PacketBytes(forward.bytes),
+                     Point{forward.destination.address},
+                     [this, i, forward, host = balancer.host] {
+                       FlowAgentInbox inbox;
+                       inbox.from_balancers.push_back(Decode(forward.bytes));
+                       inbox.from_balancers[0].mark = forward.mark;
+                       inbox.from_balancers[0].sender = host;
+                       this->TickAgent(i, inbox);
+                     });
     }
   }
   for (const FlowReset& reset : outbox.resets) {
@@ -402,12 +452,12 @@
         continue;
       }
       notice.notice.sender = balancer.host;
-      link.Send(own, Point{notice.host}, Transport::kDatagram,
-                [this, i, sent = notice.notice] {
-                  FlowAgentInbox inbox;
-                  inbox.notices.push_back(sent);
-                  this->TickAgent(i, inbox);
-                });
+      this->SendOver(index, LinkSide::kOut, kNoticeBytes, Point{notice.host},
+                     [this, i, sent = notice.notice] {
+                       FlowAgentInbox inbox;
+                       inbox.notices.push_back(sent);
+                       this->TickAgent(i, inbox);
+                     });
     }
   }
   for (OutgoingGossip& outgoing : outbox.gossip) {
@@ -462,12 +512,14 @@
       }
       FlowNotice sent = notice.notice;
       sent.sender = server.host;
-      link.Send(Point{server.host}, Point{notice.host}, Transport::kDatagram,
-                [this, i, sent] {
-                  FlowBalancerInbox inbox;
-                  inbox.notices.push_back(sent);
-                  this->TickBalancer(i, std::move(inbox));
-                });
+      const std::size_t packet =
+          sent.packet.empty() ? 0 : PacketBytes(sent.packet);
+      this->SendOver(i, LinkSide::kIn, kNoticeBytes + packet,
+                     Point{server.host}, [this, i, sent] {
+                       FlowBalancerInbox inbox;
+                       inbox.notices.push_back(sent);
+                       this->TickBalancer(i, std::move(inbox));
+                     });
     }
   }
   this->NoteEvents("a" + std::to_string(index), outbox.events);
@@ -846,13 +898,13 @@
   }
   const std::size_t index =
       ready[(head.flow.client.port * 2654435761ULL >> 7U) % ready.size()];
-  this->world.link.Send(Point{kClientNet}, Point{this->balancers[index].host},
-                        Transport::kDatagram,
-                        [this, index, bytes = Encode(head)] {
-                          FlowBalancerInbox inbox;
-                          inbox.packets.push_back(Decode(bytes));
-                          this->TickBalancer(index, std::move(inbox));
-                        });
+  const Bytes bytes = Encode(head);
+  this->SendOver(index, LinkSide::kIn, PacketBytes(bytes), Point{kClientNet},
+                 [this, index, bytes] {
+                   FlowBalancerInbox inbox;
+                   inbox.packets.push_back(Decode(bytes));
+                   this->TickBalancer(index, std::move(inbox));
+                 });
 }
 
 void FlowWorld::Impl::ToClient(const Bytes& bytes) {
@@ -1037,6 +1089,10 @@
   this->impl->servers[index].slow = factor;
 }
 
+void FlowWorld::SlowLink(std::size_t balancer, double bytes_per_second) {
+  this->impl->balancers[balancer].bytes_per_second = bytes_per_second;
+}
+
 void FlowWorld::ReuseHost(std::size_t index, std::size_t service) {
   this->impl->servers[index].service = service;
   this->impl->StartServer(index, this->impl->servers[index].name + "-reused");
--- a/tests/support/flow_world.h
+++ b/tests/support/flow_world.h
@@ -84,6 +84,9 @@
   // All processes and servers lose power; back after `pause` under new names.
   void PowerOffAll(Duration pause, bool new_names);
 
+  // Bounds the bytes of a balancer's link, each way.
+  void SlowLink(std::size_t balancer, double bytes_per_second);
+
   // Servers, over all services.
   std::size_t ServerCount() const;
   void CrashServer(std::size_t index, bool silent);  // for good
