--- a/src/core/flow/flow_balancer.cc
+++ b/src/core/flow/flow_balancer.cc
@@ -50,7 +50,7 @@
         view(seed, settings.node.flow_max_age),
         gossip(settings),
         sender(this->settings),
-        searcher(view, gossip, cache, sender, metrics) {}
+        searcher(view, gossip, sender, metrics) {}
 
   FlowBalancerOutbox Tick(TimePoint now, const FlowBalancerInbox& inbox);
   void SetSeeds(const std::vector<Endpoint>& seeds) {
--- a/src/core/flow/flow_searcher.h
+++ b/src/core/flow/flow_searcher.h
@@ -10,7 +10,6 @@
 #include <vector>
 
 #include "src/core/common/metric_set.h"
-#include "src/core/flow/flow_cache.h"
 #include "src/core/flow/flow_sender.h"
 #include "src/core/flow/search_pace.h"
 #include "src/core/flow/search_table.h"
@@ -23,14 +22,9 @@
  public:
   FlowSearcher(StoreView& view,
                ViewGossip& gossip,
-               FlowCache& cache,
                FlowSender& sender,
                MetricSet& metrics)
-      : view(view),
-        gossip(gossip),
-        cache(cache),
-        sender(sender),
-        metrics(metrics) {}
+      : view(view), gossip(gossip), sender(sender), metrics(metrics) {}
 
   // Keeps a packet of a flow that is searched for. Returns false if it is not.
   bool Keep(const FlowPacket& packet);
@@ -79,7 +73,6 @@
 
   StoreView& view;
   ViewGossip& gossip;
-  FlowCache& cache;
   FlowSender& sender;
   MetricSet& metrics;
   SearchTable searches;
