Agents bound what their server gets; no reset while a copy may be elsewhere

Ruled out: wrong counts (a balancer's own placements are added to the report), cold servers alone (16 x 3 slots hold the load once it has come in). Change 1: a query tells the agent the bound that placement uses; an agent that has met it returns the opening to the balancer ('server_saturated'), which asks another one or waits, as if it had known.

Change 2: an opening is reset only if every copy that the client has sent until then came here; else the refusal is left to the client's own limit, 0.2 s later at the most.

New tests: ManyBalancersDoNotOverfillServers, FullServerGetsNoNewFlows, OpeningWithACopyElsewhereIsKnown.

--- a/src/core/flow/flow_agent.cc
+++ b/src/core/flow/flow_agent.cc
@@ -1,6 +1,7 @@
 #include "cactuscross/flow_agent.h"
 
 #include <algorithm>
+#include <deque>
 #include <unordered_map>
 #include <utility>
 
@@ -20,6 +21,10 @@
 constexpr Duration kLoadInterval{100000};
 constexpr Duration kLoadRefresh{500000};
 
+// A client sends its request once the opening is granted: two ways between
+// client and server.
+constexpr Duration kRequestFollows{6000};
+
 // Flows that the server has disowned lately are not offered to it again.
 constexpr std::size_t kMaxDisowned = 4096;
 constexpr Duration kDisownedLife{5000000};
@@ -58,6 +63,7 @@
   ServerLoad Load() const;
   void NotifyNotHeld(std::uint32_t balancer, const FlowPacket& packet);
   void NoteBalancer(std::uint32_t balancer);
+  std::uint32_t Expected() const;
   FlowEvent& Report(FlowEventKind kind);
 
   const FlowAgentSettings settings;
@@ -67,6 +73,9 @@
   // True if `flows` holds every flow of the server: it has none from before
   // this process, or it was found not to run.
   bool complete;
+  // Times at which openings were sent whose requests are still to come.
+  std::deque<TimePoint> openings;
+  std::uint32_t most_running = 0;  // as balancers say; 0: not known
   std::unordered_map<FlowKey, TimePoint, FlowKeyHash> disowned;
   std::unordered_map<std::uint32_t, TimePoint> balancers;  // last heard
   ServerLoad told;
@@ -80,6 +89,10 @@
                                       const FlowAgentInbox& inbox) {
   this->now = now;
   this->outbox = FlowAgentOutbox();
+  while (!this->openings.empty() &&
+         now - this->openings.front() > kRequestFollows) {
+    this->openings.pop_front();
+  }
   this->ReadQueries(inbox.notices);
   // Before the packets of clients, which may belong to flows granted here.
   this->ReadFromServer(inbox.from_server);
@@ -107,6 +120,7 @@
     if (notice.service_tag != ServiceTag(this->service)) {
       continue;
     }
+    this->most_running = notice.most_running;
     this->outbox.notices.push_back(
         this->MakeNotice(notice.sender, NoticeKind::kLoad));
   }
@@ -196,7 +210,12 @@
   }
   ServerFlow* flow = this->flows.Find(packet.flow);
   if (flow == nullptr) {
+    if (this->most_running > 0 && this->Expected() >= this->most_running) {
+      this->Notify(packet.sender, NoticeKind::kSaturated, packet, false);
+      return;
+    }
     flow = &this->flows.Add(this->now, packet.flow);
+    this->openings.push_back(this->now);
   }
   flow->balancer = packet.sender;
   this->flows.NoteFromClient(this->now, *flow, packet);
@@ -275,9 +294,15 @@
   }
 }
 
+// Requests in progress, and those that openings just sent will begin.
+std::uint32_t FlowAgent::Impl::Expected() const {
+  return this->flows.Running() +
+         static_cast<std::uint32_t>(this->openings.size());
+}
+
 ServerLoad FlowAgent::Impl::Load() const {
   ServerLoad load;
-  load.running = this->flows.Running();
+  load.running = this->Expected();
   load.open_flows = this->flows.Open();
   load.down = this->watch.IsDown() || this->outbox.may_exit;
   return load;
--- a/src/core/flow/flow_balancer.cc
+++ b/src/core/flow/flow_balancer.cc
@@ -1,7 +1,6 @@
 #include "cactuscross/flow_balancer.h"
 
 #include <algorithm>
-#include <array>
 #include <string>
 #include <utility>
 
@@ -33,10 +32,6 @@
 // stopped taking traffic; it goes on forwarding meanwhile.
 constexpr Duration kStopLinger{2500000};
 
-// Age of a client's request by the copy of its opening packet: copies are sent
-// after 200 ms and 600 ms.
-constexpr std::array<Duration, 3> kCopyAges = {Duration{0}, Duration{200000},
-                                               Duration{600000}};
 // A flow is found to be lost after a retransmission or more; the client repeats
 // the request at once, and within this time.
 constexpr Duration kResetRequestAge{600000};
@@ -71,6 +66,7 @@
   void OnNotice(const FlowNotice& notice);
   void OnAccepted(const FlowNotice& notice, ServerKey server);
   void OnRefused(const FlowNotice& notice, ServerKey server);
+  void OnSaturated(const FlowNotice& notice, ServerKey server);
   void OnHeld(const FlowNotice& notice, ServerKey server);
   void OnNotHeld(const FlowNotice& notice, ServerKey server);
 
@@ -164,6 +160,9 @@
     case NoticeKind::kRefused:
       this->OnRefused(notice, entry->key);
       break;
+    case NoticeKind::kSaturated:
+      this->OnSaturated(notice, entry->key);
+      break;
     case NoticeKind::kHeld:
       this->OnHeld(notice, entry->key);
       break;
@@ -207,6 +206,19 @@
   }
 }
 
+// Other balancers were faster. The server may still get the flow, later.
+void FlowBalancer::Impl::OnSaturated(const FlowNotice& notice,
+                                     ServerKey server) {
+  Opening* opening = this->openings.Find(notice.flow);
+  const bool asked = opening != nullptr && !opening->waiting &&
+                     !opening->tried.empty() && opening->tried.back() == server;
+  if (asked) {
+    this->patience.NoteAnswered(this->now);
+    opening->tried.pop_back();
+    this->AskNextServer(*opening, "server_saturated");
+  }
+}
+
 void FlowBalancer::Impl::OnHeld(const FlowNotice& notice, ServerKey server) {
   this->cache.Put(this->now, notice.flow, server);
   this->openings.Erase(notice.flow);
@@ -282,7 +294,8 @@
 void FlowBalancer::Impl::OnOpening(const FlowPacket& packet,
                                    TimePoint arrived_at,
                                    const std::vector<ServiceShare>& shares) {
-  if (const Opening* opening = this->openings.Find(packet.flow)) {
+  if (Opening* opening = this->openings.Find(packet.flow)) {
+    NoteCopy(*opening, packet.opening_copy);
     // The client repeats it: the datagram to or from the server may be lost.
     const ServerEntry* entry =
         opening->waiting ? nullptr
@@ -308,6 +321,7 @@
   opening->service = ChooseService(packet.flow, shares);
   opening->packet.assign(packet.bytes.begin(), packet.bytes.end());
   opening->began_at = arrived_at;
+  NoteCopy(*opening, packet.opening_copy);
   opening->request_began_at = this->RequestBegan(packet, arrived_at);
   this->AskNextServer(*opening, "new_flow");
 }
@@ -372,7 +386,11 @@
   event.reason = reason;
   event.tries = static_cast<std::uint32_t>(opening.tried.size());
   event.age = this->now - opening.began_at;
-  this->sender.Reset(flow, 0);
+  if (HasAllCopies(this->now, opening)) {
+    this->sender.Reset(flow, 0);
+  } else {
+    event.detail = "not reset, a copy went elsewhere";
+  }
   this->openings.Erase(flow);
 }
 
@@ -435,6 +453,7 @@
     OutgoingNotice query;
     query.host = entry.server.host;
     query.notice.kind = NoticeKind::kQuery;
+    query.notice.most_running = MostRunning(entry);
     query.notice.service_tag = ServiceTag(entry.server.service);
     this->sender.Outbox().notices.push_back(std::move(query));
   }
--- a/src/core/flow/opening_table.cc
+++ b/src/core/flow/opening_table.cc
@@ -13,8 +13,33 @@
 // try again.
 constexpr Duration kMostWait{1200000};
 
+// A copy may be this much late on its way.
+constexpr Duration kCopyLateness{50000};
+
+bool CameHere(const Opening& opening, std::size_t copy) {
+  return (opening.copies >> copy & 1U) != 0;
+}
+
 }  // namespace
 
+void NoteCopy(Opening& opening, std::uint32_t copy) {
+  opening.copies |= 1U << std::min<std::size_t>(copy, kCopyAges.size() - 1);
+}
+
+bool HasAllCopies(TimePoint now, const Opening& opening) {
+  // Without the first copy the time of the others is not known.
+  if (!CameHere(opening, 0)) {
+    return false;
+  }
+  for (std::size_t copy = 1; copy < kCopyAges.size(); ++copy) {
+    const bool sent = now - opening.began_at >= kCopyAges[copy] + kCopyLateness;
+    if (sent && !CameHere(opening, copy)) {
+      return false;
+    }
+  }
+  return true;
+}
+
 Opening* OpeningTable::Find(const FlowKey& flow) {
   const auto found = this->openings.find(flow);
   return found == this->openings.end() ? nullptr : &found->second;
--- a/src/core/flow/opening_table.h
+++ b/src/core/flow/opening_table.h
@@ -5,6 +5,8 @@
 // yet. The opening packet is kept, so that another server can be asked before
 // the client repeats it.
 
+#include <array>
+#include <cstdint>
 #include <unordered_map>
 #include <vector>
 
@@ -24,9 +26,22 @@
   // wait for a server the newest goes first: it can still be answered in time,
   // while an old one is late already.
   TimePoint request_began_at;
-  bool waiting = false;  // all servers are saturated
+  bool waiting = false;      // all servers are saturated
+  std::uint32_t copies = 0;  // a bit for each copy that came here
 };
 
+// Age of a client's opening when it sends a copy of the packet.
+inline constexpr std::array<Duration, 3> kCopyAges = {
+    Duration{0}, Duration{200000}, Duration{600000}};
+
+// Notes that a copy of the opening packet came here.
+void NoteCopy(Opening& opening, std::uint32_t copy);
+
+// True if every copy that the client has sent came here. Routers may have
+// given one to another balancer, which may have opened the flow since; a reset
+// would then end an open flow.
+bool HasAllCopies(TimePoint now, const Opening& opening);
+
 class OpeningTable {
  public:
   Opening* Find(const FlowKey& flow);
--- a/src/core/flow/placement.cc
+++ b/src/core/flow/placement.cc
@@ -56,9 +56,12 @@
   return (load + 1.0) * cold / std::max(entry.server.slots, 1U);
 }
 
+std::uint32_t MostRunning(const ServerEntry& entry) {
+  return kMostLoadPerSlot * entry.server.slots;
+}
+
 bool IsSaturated(const ServerEntry& entry) {
-  return entry.load.running + entry.placed >=
-         kMostLoadPerSlot * entry.server.slots;
+  return entry.load.running + entry.placed >= MostRunning(entry);
 }
 
 Placement PlaceFlow(TimePoint now,
--- a/src/core/flow/placement.h
+++ b/src/core/flow/placement.h
@@ -21,6 +21,9 @@
                  const ServerEntry& entry,
                  std::string_view own_zone);
 
+// Requests in progress from which on a server gets no new flows.
+std::uint32_t MostRunning(const ServerEntry& entry);
+
 // True if a further request would wait on the server for longer than about the
 // time that one takes.
 bool IsSaturated(const ServerEntry& entry);
--- a/src/wire/flow_codec.cc
+++ b/src/wire/flow_codec.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr auto kFirstKind = static_cast<std::uint32_t>(NoticeKind::kLoad);
-constexpr auto kLastKind = static_cast<std::uint32_t>(NoticeKind::kQuery);
+constexpr auto kLastKind = static_cast<std::uint32_t>(NoticeKind::kSaturated);
 
 bool IsPort(std::uint32_t number) {
   return number <= std::numeric_limits<std::uint16_t>::max();
@@ -99,6 +99,7 @@
   message.set_down(notice.load.down);
   message.set_packet(notice.packet.data(), notice.packet.size());
   message.set_acknowledgement(notice.acknowledgement);
+  message.set_most_running(notice.most_running);
   Bytes bytes(message.ByteSizeLong());
   message.SerializeToArray(bytes.data(), static_cast<int>(bytes.size()));
   return bytes;
@@ -123,6 +124,7 @@
   notice.load = {message.running(), message.open_flows(), message.down()};
   notice.packet.assign(message.packet().begin(), message.packet().end());
   notice.acknowledgement = message.acknowledgement();
+  notice.most_running = message.most_running();
   return notice;
 }
 
--- a/tests/flow/test_flow_pace.cc
+++ b/tests/flow/test_flow_pace.cc
@@ -4,6 +4,7 @@
 #include <cstddef>
 
 #include "src/core/flow/answer_patience.h"
+#include "src/core/flow/opening_table.h"
 #include "src/core/flow/search_pace.h"
 #include "src/core/flow/search_table.h"
 
@@ -25,6 +26,7 @@
   CPPUNIT_TEST(PatienceReturnsWithAnswers);
   CPPUNIT_TEST(FewQuestionsChangeNothing);
   CPPUNIT_TEST(DeniedServersAreNotAskedAgain);
+  CPPUNIT_TEST(OpeningWithACopyElsewhereIsKnown);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -105,6 +107,28 @@
     CPPUNIT_ASSERT(patience.Current() == AnswerPatience::kLeast);
   }
 
+  void OpeningWithACopyElsewhereIsKnown() {
+    Opening opening;
+    opening.began_at = kStart;
+    NoteCopy(opening, 0);
+    CPPUNIT_ASSERT(
+        HasAllCopies(kStart + std::chrono::milliseconds(190), opening));
+    CPPUNIT_ASSERT(
+        !HasAllCopies(kStart + std::chrono::milliseconds(260), opening));
+    NoteCopy(opening, 1);
+    CPPUNIT_ASSERT(
+        HasAllCopies(kStart + std::chrono::milliseconds(260), opening));
+    CPPUNIT_ASSERT(
+        !HasAllCopies(kStart + std::chrono::milliseconds(1200), opening));
+    NoteCopy(opening, 2);
+    CPPUNIT_ASSERT(
+        HasAllCopies(kStart + std::chrono::milliseconds(1200), opening));
+    Opening later;
+    later.began_at = kStart;
+    NoteCopy(later, 1);
+    CPPUNIT_ASSERT(!HasAllCopies(kStart, later));
+  }
+
   void DeniedServersAreNotAskedAgain() {
     FlowSearch search;
     search.order = {ServerKey{1}, ServerKey{2}, ServerKey{3}};
--- a/tests/flow/test_flow_parts.cc
+++ b/tests/flow/test_flow_parts.cc
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(LostHistoryNeedsAList);
   CPPUNIT_TEST(ReturnedPacketOfAnOpenFlowResetsIt);
   CPPUNIT_TEST(AgentWithFullKnowledgeAsksNobody);
+  CPPUNIT_TEST(FullServerGetsNoNewFlows);
   CPPUNIT_TEST(NoticesAndGossipSurviveTheWire);
   CPPUNIT_TEST(SettingsAreParsed);
   CPPUNIT_TEST_SUITE_END();
@@ -255,17 +256,55 @@
                    this->FromBalancer(first, packet).notices[0].notice.kind);
   }
 
+  void FullServerGetsNoNewFlows() {
+    FlowAgent agent(AgentSettings());
+    FlowAgentInbox inbox;
+    FlowNotice query;
+    query.kind = NoticeKind::kQuery;
+    query.sender = 77;
+    query.service_tag = ServiceTag(MakeServiceId("desk"));
+    query.most_running = 2;
+    inbox.notices = {query};
+    agent.Tick(kStart, inbox);
+    FlowPacket packet = MakePacket();
+    packet.opening = true;
+    for (std::uint16_t port = 1; port <= 2; ++port) {
+      packet.flow.client.port = port;
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                           this->FromBalancer(agent, packet).to_server.size());
+    }
+    packet.flow.client.port = 3;
+    const FlowAgentOutbox refused = this->FromBalancer(agent, packet);
+    CPPUNIT_ASSERT(refused.to_server.empty());
+    CPPUNIT_ASSERT(NoticeKind::kSaturated == refused.notices[0].notice.kind);
+    CPPUNIT_ASSERT_EQUAL(2U, refused.notices[0].notice.load.running);
+    // A copy of an opening that was sent on passes.
+    packet.flow.client.port = 2;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         this->FromBalancer(agent, packet).to_server.size());
+    // Openings that led to no request leave their room to others.
+    agent.Tick(kStart + seconds(1), FlowAgentInbox());
+    packet.flow.client.port = 4;
+    FlowAgentInbox later;
+    later.from_balancers = {packet};
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t{1},
+        agent.Tick(kStart + seconds(1), later).to_server.size());
+  }
+
   void NoticesAndGossipSurviveTheWire() {
     FlowNotice notice = MakeLoad(1, 5);
     notice.kind = NoticeKind::kNotHeld;
     notice.flow = kFlow;
     notice.packet = {1, 2, 3};
     notice.acknowledgement = 99;
+    notice.most_running = 6;
     const auto decoded = DecodeFlowNotice(EncodeFlowNotice(notice), 1);
     CPPUNIT_ASSERT(decoded.has_value());
     CPPUNIT_ASSERT(decoded->flow == kFlow && decoded->packet == notice.packet);
     CPPUNIT_ASSERT_EQUAL(5U, decoded->load.running);
     CPPUNIT_ASSERT_EQUAL(99U, decoded->acknowledgement);
+    CPPUNIT_ASSERT_EQUAL(6U, decoded->most_running);
 
     GossipMessage message;
     message.kind = GossipKind::kServers;
--- a/tests/flow/test_flow_world.cc
+++ b/tests/flow/test_flow_world.cc
@@ -48,6 +48,7 @@
   CPPUNIT_TEST(LossOfPowerAfterServersLeft);
   CPPUNIT_TEST(LossOfPowerWithSilentStore);
   CPPUNIT_TEST(LossOfPowerBehindSlowLinks);
+  CPPUNIT_TEST(ManyBalancersDoNotOverfillServers);
   CPPUNIT_TEST(RemovedRouteIsRefused);
   CPPUNIT_TEST(SlowServerIsRelieved);
   CPPUNIT_TEST_SUITE_END();
@@ -210,6 +211,24 @@
     CheckServed(world.Run(seconds(2)), 0.95, 0.95);
   }
 
+  // Everybody is back at once, and each of many balancers takes a server that
+  // is idle by its last report for idle.
+  void ManyBalancersDoNotOverfillServers() {
+    FlowWorldShape shape = WorkshopShape(1.6);
+    shape.balancers = 23;
+    shape.services[0] = {"desk", 8080, 16, 3, 12};
+    shape.users = 900;
+    FlowWorld world(kSeed, shape);
+    CheckServed(world.Run(seconds(2)), 0.95, 0.95);
+    world.PowerOffAll(seconds(1), /*new_names=*/true);
+    world.Run(seconds(2));
+    const FlowTotals back = world.Run(seconds(2));
+    CheckServed(back, 0.45, 0.75);
+    CPPUNIT_ASSERT_MESSAGE(Describe(back), back.shed * 100 <= back.asked);
+    CheckServed(world.Run(seconds(2)), 0.85, 0.95);
+    CheckServed(world.Run(seconds(2)), 0.97, 0.99);
+  }
+
   void RemovedRouteIsRefused() {
     FlowWorld world(kSeed, WorkshopShape(1.0));
     world.Run(seconds(1));
