--- a/tests/run_models.sh
+++ b/tests/run_models.sh
@@ -50,7 +50,11 @@
 fails session -DRESTARTS=0 -DNO_WAKE_CHECK
 fails session -DNO_WAKE_DISCARD
 fails session -DOFFER_OUTLIVES_RESTART
-fails session -DREGISTER_TWICE"
+fails session -DREGISTER_TWICE
+holds opening
+holds opening -DBALANCERS=2 -DKILLS=4
+fails opening -DNO_COPY_CHECK
+fails opening -DNO_FIRST_COPY"
 
 check_model() {
   expected=$1
