A server that was leaving is gone with its entry

Servers that were being released when the power went do not come back; their entries lapse at 39.1 s, and for 2 s more they count as servers that may come back, so that no flow can be proved lost.

Ruled out: the window of searches ('no_turn' 60 a second), agents that do not answer (the others all did).

Change: the grace is for servers that serve; one that was marked as leaving and whose entry went is gone once its agent is silent for 1.5 s.

Test: LeavingServerIsGoneWithItsEntry, red before.

--- a/src/core/flow/server_table.cc
+++ b/src/core/flow/server_table.cc
@@ -267,7 +267,9 @@
 
 bool IsGone(TimePoint now, const ServerEntry& entry) {
   const bool silent = !entry.heard || now - entry.heard_at >= kAgentSilence;
-  return !entry.listed && now - entry.unlisted_at >= kLapseGrace && silent;
+  const bool leaving = entry.server.phase == ServerPhase::kLeaving;
+  const Duration grace = leaving ? Duration{0} : kLapseGrace;
+  return !entry.listed && now - entry.unlisted_at >= grace && silent;
 }
 
 bool IsPlaceable(TimePoint now, const ServerEntry& entry) {
--- a/src/core/flow/server_table.h
+++ b/src/core/flow/server_table.h
@@ -102,7 +102,7 @@
 
 // True if `entry` is gone for good, as far as anybody can tell: the store does
 // not list it, the time for lapsed entries to come back is over, and its agent
-// is silent.
+// is silent. An entry that was marked as leaving does not come back.
 bool IsGone(TimePoint now, const ServerEntry& entry);
 
 // True if `entry` may get new flows.
--- a/tests/flow/test_flow_parts.cc
+++ b/tests/flow/test_flow_parts.cc
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(SharesOfARouteFollowTheWeights);
   CPPUNIT_TEST(OlderEntriesOfAHostAreSuperseded);
   CPPUNIT_TEST(LapsedServerIsGoneAfterTheGrace);
+  CPPUNIT_TEST(LeavingServerIsGoneWithItsEntry);
   CPPUNIT_TEST(RestartForgetsTheLoad);
   CPPUNIT_TEST(LeastLoadedOfThreeIsChosen);
   CPPUNIT_TEST(SaturatedServersGetNothing);
@@ -115,6 +116,29 @@
                          servers.OfService(MakeServiceId("desk")).size());
   }
 
+  // It has said that it will go; only a server that serves can have lapsed.
+  void LeavingServerIsGoneWithItsEntry() {
+    std::vector<FlowEvent> events;
+    ServerTable servers;
+    ServerChange leaving = MakeChange("a", 5, 1);
+    leaving.server.phase = ServerPhase::kLeaving;
+    servers.Apply(kStart, leaving, events);
+    servers.Apply(kStart, MakeChange("b", 6, 2), events);
+    for (const auto& [name, host] : {std::pair{"a", 1U}, std::pair{"b", 2U}}) {
+      servers.NoteNotice(kStart, MakeLoad(host, 0), events);
+      ServerChange removed = MakeChange(name, 6 + host, host);
+      removed.removed = true;
+      servers.Apply(kStart + seconds(3), removed, events);
+    }
+    const ServerEntry& left = *servers.Find(MakeServerKey("a"));
+    const ServerEntry& lapsed = *servers.Find(MakeServerKey("b"));
+    // An agent that still reports its server is believed.
+    CPPUNIT_ASSERT(!IsGone(kStart + seconds(1), left));
+    CPPUNIT_ASSERT(IsGone(kStart + seconds(3), left));
+    CPPUNIT_ASSERT(!IsGone(kStart + seconds(4), lapsed));
+    CPPUNIT_ASSERT(IsGone(kStart + seconds(5), lapsed));
+  }
+
   void RestartForgetsTheLoad() {
     std::vector<FlowEvent> events;
     ServerTable servers;
