--- a/src/core/flow/flow_agent.cc
+++ b/src/core/flow/flow_agent.cc
@@ -211,6 +211,10 @@
   ServerFlow* flow = this->flows.Find(packet.flow);
   if (flow == nullptr) {
     if (this->most_running > 0 && this->Expected() >= this->most_running) {
+      FlowEvent& event = this->Report(FlowEventKind::kRefused);
+      event.flow = packet.flow;
+      event.reason = "saturated";
+      event.running = this->Expected();
       this->Notify(packet.sender, NoticeKind::kSaturated, packet, false);
       return;
     }
