--- a/src/core/agent/body_store.h
+++ b/src/core/agent/body_store.h
@@ -61,9 +61,8 @@
                const CoapMessage& request);
 
   // Notes that `request`, for a block of a kept body, is answered now. Returns
-  // false if it repeats the one that was answered within kRepeatSilence: the
-  // answer is on its way, and stock clients keep a block that comes twice
-  // twice.
+  // false if it repeats one that was answered within kRepeatSilence: the answer
+  // is on its way, and stock clients append a block again that comes again.
   bool NoteAnswer(TimePoint now,
                   const Endpoint& caller,
                   const CoapMessage& request);
--- a/src/core/flow/search_pace.h
+++ b/src/core/flow/search_pace.h
@@ -34,10 +34,12 @@
   std::size_t Window() const { return this->window; }
   std::size_t UnderWay() const { return this->under_way; }
 
-  // 10 ms of a link of 10 Mbit/s, the smallest one planned for, is 12.5 KB.
+  // Bytes. Takes 26 ms of a link of 10 Mbit/s, the smallest one planned for,
+  // and so leaves time for the answers.
   static constexpr std::size_t kFirstWindow = 32768;
-  // One step of the largest packets.
+  // The first step of a search with the largest packet.
   static constexpr std::size_t kLeastWindow = 4096;
+  // 10 ms of a link of 1 Gbit/s.
   static constexpr std::size_t kMostWindow = 1U << 20U;
 
  private:
