--- a/include/cactuscross/flow_message.h
+++ b/include/cactuscross/flow_message.h
@@ -35,7 +35,7 @@
   NoticeKind kind = NoticeKind::kLoad;
   std::uint32_t sender = 0;  // IPv4 address, of the datagram
   std::uint32_t service_tag = 0;
-  FlowKey flow;     // unset in kLoad and kQuery
+  FlowKey flow;  // unset in kLoad and kQuery
   // kQuery: requests in progress from which on the server gets no new flows.
   std::uint32_t most_running = 0;
   ServerLoad load;  // unset in kQuery
