One turn of the polling loop serves balancer and agent

Both loops waited, ticked in batches, served HTTP and looked at the settings in the same lines. FlowProcess::RunOnce() does; Wait, Serve and SettingsChanged are its own now. Behaviour as before.

--- a/src/shell/flow/flow_process.h
+++ b/src/shell/flow/flow_process.h
@@ -40,12 +40,20 @@
               const std::string& settings_path,
               MetricsSource metrics);
 
-  // Sleeps until something arrives on the process' own channels or `entries`,
-  // at most until the next tick is due.
-  void Wait(std::vector<pollfd>& entries);
-
-  // Answers HTTP requests.
-  void Serve(TimePoint now);
+  // One turn of `loop`: waits for its channels, lets it tick while packets
+  // come, answers HTTP requests, and tells it of changed settings.
+  template <typename Loop>
+  void RunOnce(Loop& loop) {
+    std::vector<pollfd> entries;
+    loop.AppendPollEntries(entries);
+    this->Wait(entries);
+    for (int batch = 0; batch < kMaxBatches && loop.TickOnce(); ++batch) {
+    }
+    this->Serve(MonotonicNow());
+    if (this->SettingsChanged(MonotonicNow())) {
+      loop.OnSettingsChanged();
+    }
+  }
 
   // One batch of packets from `socket`; valid until the next Receive().
   std::vector<FlowPacket> ReceivePackets(const UdpSocket& socket,
@@ -61,9 +69,7 @@
   void SendNotices(const std::vector<OutgoingNotice>& notices);
 
   bool StopRequested() { return this->stop_signal.Check(); }
-  // True if the settings file was found to differ from what it held before;
-  // SettingsText() then returns its content.
-  bool SettingsChanged(TimePoint now);
+  // Content of the settings file when it was last found to differ.
   const std::string& SettingsText() const {
     return this->settings_watch.Text();
   }
@@ -77,6 +83,15 @@
   const UdpSocket& Data() const { return this->data; }
 
  private:
+  // Sleeps until something arrives on the process' own channels or `entries`,
+  // at most until the next tick is due.
+  void Wait(std::vector<pollfd>& entries);
+
+  // Answers HTTP requests.
+  void Serve(TimePoint now);
+
+  // True if the settings file was found to differ from what it held before.
+  bool SettingsChanged(TimePoint now);
   HttpReply Answer(std::string_view path) const;
 
   const FlowNodeSettings settings;
--- a/src/shell/flow/run_flow_agent.cc
+++ b/src/shell/flow/run_flow_agent.cc
@@ -27,24 +27,15 @@
 
   // Returns whether the process goes on.
   bool RunOnce() {
-    std::vector<pollfd> entries;
+    this->process.RunOnce(*this);
+    return !this->may_exit;
+  }
+
+  void AppendPollEntries(std::vector<pollfd>& entries) const {
     entries.push_back({this->outbound.Get(), POLLIN, 0});
     this->probe.AppendPollEntries(entries);
-    this->process.Wait(entries);
-    for (int batch = 0; batch < kMaxBatches; ++batch) {
-      if (!this->TickOnce()) {
-        break;
-      }
-    }
-    this->process.Serve(MonotonicNow());
-    if (this->process.SettingsChanged(MonotonicNow())) {
-      // Nothing that an agent uses may change while it runs.
-      Log(LogSeverity::kInfo, "process", "settings_unchanged");
-    }
-    return !this->may_exit;
   }
 
- private:
   // Two ticks, since packets point into buffers that both sockets share.
   // Returns whether there may be more packets.
   bool TickOnce() {
@@ -65,6 +56,12 @@
     return more;
   }
 
+  void OnSettingsChanged() {
+    // Nothing that an agent uses may change while it runs.
+    Log(LogSeverity::kInfo, "process", "settings_unchanged");
+  }
+
+ private:
   void Tick(const FlowAgentInbox& inbox) {
     const TimePoint now = MonotonicNow();
     FlowAgentOutbox outbox = this->agent.Tick(now, inbox);
--- a/src/shell/flow/run_flow_balancer.cc
+++ b/src/shell/flow/run_flow_balancer.cc
@@ -28,27 +28,19 @@
 
   // Returns whether the process goes on.
   bool RunOnce() {
-    std::vector<pollfd> entries;
+    this->process.RunOnce(*this);
+    return !this->may_exit;
+  }
+
+  void AppendPollEntries(std::vector<pollfd>& entries) const {
     this->store->AppendPollEntries(entries);
     if (this->control) {
       entries.push_back({this->control->Get(), POLLIN, 0});
     }
-    this->process.Wait(entries);
-    for (int batch = 0; batch < kMaxBatches; ++batch) {
-      if (!this->TickOnce()) {
-        break;
-      }
-    }
-    this->process.Serve(MonotonicNow());
-    if (this->process.SettingsChanged(MonotonicNow())) {
-      this->Reload();
-    }
-    return !this->may_exit;
   }
 
- private:
   // Takes over the seeds; all else holds until the next start.
-  void Reload() {
+  void OnSettingsChanged() {
     const auto settings = ParseFlowBalancerSettings(
         this->process.SettingsText(), this->process.SettingsPath());
     if (!settings) {
@@ -87,6 +79,7 @@
     return more;
   }
 
+ private:
   std::vector<GossipMessage> ReceiveGossip() {
     std::vector<GossipMessage> messages;
     if (!this->control) {
