--- a/src/core/flow/view_gossip.cc
+++ b/src/core/flow/view_gossip.cc
@@ -146,6 +146,24 @@
   this->Send(peer->control, std::move(pull));
 }
 
+template <typename Entry>
+void ViewGossip::SendInParts(const Endpoint& destination,
+                             GossipMessage reply,
+                             std::vector<Entry> GossipMessage::*list,
+                             const std::vector<Entry>& entries,
+                             std::size_t in_part) {
+  reply.part.count = PartsOf(entries.size(), in_part);
+  for (reply.part.index = 0; reply.part.index < reply.part.count;
+       ++reply.part.index) {
+    const std::size_t first = reply.part.index * in_part;
+    const std::size_t last = std::min(first + in_part, entries.size());
+    (reply.*list)
+        .assign(entries.begin() + static_cast<std::ptrdiff_t>(first),
+                entries.begin() + static_cast<std::ptrdiff_t>(last));
+    this->Send(destination, reply);
+  }
+}
+
 void ViewGossip::OnPull(const GossipMessage& pull, const StoreView& view) {
   const ViewMark mark = view.Mark();
   if (!mark.loaded) {
@@ -154,33 +172,17 @@
   GossipMessage reply;
   reply.mark = mark;
   if (!pull.mark.loaded || pull.mark.routes_version < mark.routes_version) {
-    const std::vector<FlowRoute> routes = view.Routes().All();
     reply.kind = GossipKind::kRoutes;
-    reply.part.count = PartsOf(routes.size(), kRoutesInPart);
-    for (reply.part.index = 0; reply.part.index < reply.part.count;
-         ++reply.part.index) {
-      const std::size_t first = reply.part.index * kRoutesInPart;
-      const std::size_t last = std::min(first + kRoutesInPart, routes.size());
-      reply.routes.assign(routes.begin() + static_cast<std::ptrdiff_t>(first),
-                          routes.begin() + static_cast<std::ptrdiff_t>(last));
-      this->Send(pull.sender, reply);
-    }
-    reply.routes.clear();
+    this->SendInParts(pull.sender, reply, &GossipMessage::routes,
+                      view.Routes().All(), kRoutesInPart);
   }
   if (!pull.mark.loaded || pull.mark.servers_revision < mark.servers_revision) {
     reply.kind = GossipKind::kServers;
     reply.after_revision = pull.mark.loaded ? pull.mark.servers_revision : 0;
-    const std::vector<ServerChange> changes =
-        view.Servers().ChangesSince(this->now, reply.after_revision);
-    reply.part.count = PartsOf(changes.size(), kServersInPart);
-    for (reply.part.index = 0; reply.part.index < reply.part.count;
-         ++reply.part.index) {
-      const std::size_t first = reply.part.index * kServersInPart;
-      const std::size_t last = std::min(first + kServersInPart, changes.size());
-      reply.servers.assign(changes.begin() + static_cast<std::ptrdiff_t>(first),
-                           changes.begin() + static_cast<std::ptrdiff_t>(last));
-      this->Send(pull.sender, reply);
-    }
+    this->SendInParts(
+        pull.sender, reply, &GossipMessage::servers,
+        view.Servers().ChangesSince(this->now, reply.after_revision),
+        kServersInPart);
   }
 }
 
--- a/src/core/flow/view_gossip.h
+++ b/src/core/flow/view_gossip.h
@@ -42,6 +42,14 @@
   void OnPull(const GossipMessage& pull, const StoreView& view);
   void OnRoutes(const GossipMessage& message, StoreView& view);
   void OnServers(const GossipMessage& message, StoreView& view);
+  // Sends the entries in messages of at most `in_part`, each as `reply` with
+  // its part of them in `list`.
+  template <typename Entry>
+  void SendInParts(const Endpoint& destination,
+                   GossipMessage reply,
+                   std::vector<Entry> GossipMessage::*list,
+                   const std::vector<Entry>& entries,
+                   std::size_t in_part);
   void SendDigests(const StoreView& view);
   GossipMessage MakeDigest(const StoreView& view) const;
   void Send(const Endpoint& destination, GossipMessage message);
