Openings and searches share one table

Find, Add, Erase, Size and, since searches wait for a turn, Overdue were the same in both: FlowTable. NoteDenial() tells whether the denial is new, which the searcher found out by comparing sizes; FindAsked() serves both answers that send an opening on.

--- a/src/core/flow/flow_balancer.cc
+++ b/src/core/flow/flow_balancer.cc
@@ -65,6 +65,8 @@
 
   void OnNotice(const FlowNotice& notice);
   void OnAccepted(const FlowNotice& notice, ServerKey server);
+  // The opening of `flow` if `server` was asked last; else null.
+  Opening* FindAsked(const FlowKey& flow, ServerKey server);
   void OnRefused(const FlowNotice& notice, ServerKey server);
   void OnSaturated(const FlowNotice& notice, ServerKey server);
   void OnHeld(const FlowNotice& notice, ServerKey server);
@@ -195,11 +197,15 @@
   this->openings.Erase(notice.flow);
 }
 
-void FlowBalancer::Impl::OnRefused(const FlowNotice& notice, ServerKey server) {
-  Opening* opening = this->openings.Find(notice.flow);
+Opening* FlowBalancer::Impl::FindAsked(const FlowKey& flow, ServerKey server) {
+  Opening* opening = this->openings.Find(flow);
   const bool asked = opening != nullptr && !opening->tried.empty() &&
                      opening->tried.back() == server;
-  if (asked) {
+  return asked ? opening : nullptr;
+}
+
+void FlowBalancer::Impl::OnRefused(const FlowNotice& notice, ServerKey server) {
+  if (Opening* opening = this->FindAsked(notice.flow, server)) {
     this->AskNextServer(*opening, notice.kind == NoticeKind::kWrongService
                                       ? "wrong_service"
                                       : "server_refused");
@@ -209,10 +215,8 @@
 // Other balancers were faster. The server may still get the flow, later.
 void FlowBalancer::Impl::OnSaturated(const FlowNotice& notice,
                                      ServerKey server) {
-  Opening* opening = this->openings.Find(notice.flow);
-  const bool asked = opening != nullptr && !opening->waiting &&
-                     !opening->tried.empty() && opening->tried.back() == server;
-  if (asked) {
+  Opening* opening = this->FindAsked(notice.flow, server);
+  if (opening != nullptr && !opening->waiting) {
     this->patience.NoteAnswered(this->now);
     opening->tried.pop_back();
     this->AskNextServer(*opening, "server_saturated");
--- a/src/core/flow/flow_searcher.cc
+++ b/src/core/flow/flow_searcher.cc
@@ -96,9 +96,7 @@
   if (search == nullptr) {
     return false;
   }
-  const std::size_t before = search->answered.size();
-  cactuscross::NoteNotHeld(*search, server);
-  if (search->answered.size() > before && search->outstanding > 0) {
+  if (NoteDenial(*search, server) && search->outstanding > 0) {
     --search->outstanding;
     this->pace.NoteAnswered(CostOf(*search));
   }
--- /dev/null
+++ b/src/core/flow/flow_table.h
@@ -0,0 +1,53 @@
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_FLOW_TABLE_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_FLOW_TABLE_H_
+
+// Flows that a balancer asks servers about, at most `kMost` at once. An `Entry`
+// has the members `flow`, `asked_at` and `waiting`, for its turn to ask.
+
+#include <cstddef>
+#include <unordered_map>
+#include <vector>
+
+#include "cactuscross/flow_types.h"
+
+namespace cactuscross {
+
+template <typename Entry, std::size_t kMost>
+class FlowTable {
+ public:
+  Entry* Find(const FlowKey& flow) {
+    const auto found = this->entries.find(flow);
+    return found == this->entries.end() ? nullptr : &found->second;
+  }
+
+  // Null if the table is full.
+  Entry* Add(const FlowKey& flow) {
+    if (this->entries.size() >= kMost) {
+      return nullptr;
+    }
+    Entry& entry = this->entries[flow];
+    entry.flow = flow;
+    return &entry;
+  }
+
+  void Erase(const FlowKey& flow) { this->entries.erase(flow); }
+  std::size_t Size() const { return this->entries.size(); }
+
+  // Flows whose last servers have not all answered within `patience`.
+  std::vector<FlowKey> Overdue(TimePoint now, Duration patience) const {
+    std::vector<FlowKey> overdue;
+    for (const auto& [flow, entry] : this->entries) {
+      if (!entry.waiting && now - entry.asked_at >= patience) {
+        overdue.push_back(flow);
+      }
+    }
+    return overdue;
+  }
+
+ protected:
+  std::unordered_map<FlowKey, Entry, FlowKeyHash> entries;
+};
+
+}  // namespace cactuscross
+
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_FLOW_TABLE_H_
--- a/src/core/flow/opening_table.cc
+++ b/src/core/flow/opening_table.cc
@@ -5,10 +5,6 @@
 namespace cactuscross {
 namespace {
 
-// New flows in doubt at once: letter 1 plans 120 a second for each balancer,
-// and a client gives up after 1.4 s.
-constexpr std::size_t kMaxOpenings = 4096;
-
 // A client gives an opening up after 1.4 s; it is told before, so that it can
 // try again.
 constexpr Duration kMostWait{1200000};
@@ -40,34 +36,9 @@
   return true;
 }
 
-Opening* OpeningTable::Find(const FlowKey& flow) {
-  const auto found = this->openings.find(flow);
-  return found == this->openings.end() ? nullptr : &found->second;
-}
-
-Opening* OpeningTable::Add(const FlowKey& flow) {
-  if (this->openings.size() >= kMaxOpenings) {
-    return nullptr;
-  }
-  Opening& opening = this->openings[flow];
-  opening.flow = flow;
-  return &opening;
-}
-
-std::vector<FlowKey> OpeningTable::Overdue(TimePoint now,
-                                           Duration patience) const {
-  std::vector<FlowKey> overdue;
-  for (const auto& [flow, opening] : this->openings) {
-    if (!opening.waiting && now - opening.asked_at >= patience) {
-      overdue.push_back(flow);
-    }
-  }
-  return overdue;
-}
-
 std::vector<FlowKey> OpeningTable::Waiting() const {
   std::vector<const Opening*> waiting;
-  for (const auto& [flow, opening] : this->openings) {
+  for (const auto& [flow, opening] : this->entries) {
     if (opening.waiting) {
       waiting.push_back(&opening);
     }
@@ -86,7 +57,7 @@
 
 std::vector<FlowKey> OpeningTable::WaitedTooLong(TimePoint now) const {
   std::vector<FlowKey> flows;
-  for (const auto& [flow, opening] : this->openings) {
+  for (const auto& [flow, opening] : this->entries) {
     if (opening.waiting && now - opening.began_at >= kMostWait) {
       flows.push_back(flow);
     }
--- a/src/core/flow/opening_table.h
+++ b/src/core/flow/opening_table.h
@@ -7,11 +7,11 @@
 
 #include <array>
 #include <cstdint>
-#include <unordered_map>
 #include <vector>
 
 #include "cactuscross/flow_types.h"
 #include "cactuscross/flow_view.h"
+#include "src/core/flow/flow_table.h"
 
 namespace cactuscross {
 
@@ -42,24 +42,16 @@
 // would then end an open flow.
 bool HasAllCopies(TimePoint now, const Opening& opening);
 
-class OpeningTable {
- public:
-  Opening* Find(const FlowKey& flow);
-  // Null if the table is full.
-  Opening* Add(const FlowKey& flow);
-  void Erase(const FlowKey& flow) { this->openings.erase(flow); }
-  std::size_t Size() const { return this->openings.size(); }
-
-  // Flows whose last server has not answered within `patience`.
-  std::vector<FlowKey> Overdue(TimePoint now, Duration patience) const;
+// New flows in doubt at once: letter 1 plans 120 a second for each balancer,
+// and a client gives up after 1.4 s.
+inline constexpr std::size_t kMaxOpenings = 4096;
 
+class OpeningTable : public FlowTable<Opening, kMaxOpenings> {
+ public:
   // Flows that wait for a server, newest request first.
   std::vector<FlowKey> Waiting() const;
   // Flows that have waited for too long.
   std::vector<FlowKey> WaitedTooLong(TimePoint now) const;
-
- private:
-  std::unordered_map<FlowKey, Opening, FlowKeyHash> openings;
 };
 
 }  // namespace cactuscross
--- a/src/core/flow/search_table.h
+++ b/src/core/flow/search_table.h
@@ -5,11 +5,11 @@
 // in the flow's order, a few at a time; agents say whether theirs holds it.
 
 #include <algorithm>
-#include <unordered_map>
 #include <vector>
 
 #include "cactuscross/flow_types.h"
 #include "cactuscross/flow_view.h"
+#include "src/core/flow/flow_table.h"
 
 namespace cactuscross {
 
@@ -36,26 +36,18 @@
   bool AllAsked() const { return this->asked == this->order.size(); }
 };
 
-class SearchTable {
- public:
-  FlowSearch* Find(const FlowKey& flow);
-  // Null if the table is full.
-  FlowSearch* Add(const FlowKey& flow);
-  void Erase(const FlowKey& flow) { this->searches.erase(flow); }
-  std::size_t Size() const { return this->searches.size(); }
+// Each search holds a few packets of 1,236 bytes at most: 40 MB if all are
+// full, a few KB on an ordinary day.
+inline constexpr std::size_t kMaxSearches = 4096;
 
-  // Searches whose last servers have not all answered within `patience`.
-  std::vector<FlowKey> Overdue(TimePoint now, Duration patience) const;
-
- private:
-  std::unordered_map<FlowKey, FlowSearch, FlowKeyHash> searches;
-};
+using SearchTable = FlowTable<FlowSearch, kMaxSearches>;
 
 // Keeps `packet` for the server that will be found, as far as there is room.
 void KeepPacket(FlowSearch& search, ByteView packet);
 
-// Notes that `server` does not hold the flow.
-void NoteNotHeld(FlowSearch& search, ServerKey server);
+// Notes that `server` does not hold the flow. Returns false if it was not asked
+// or has said so before.
+bool NoteDenial(FlowSearch& search, ServerKey server);
 
 // Takes servers that are known not to hold the flow out of the order.
 void RemoveDenied(FlowSearch& search, const std::vector<ServerKey>& servers);
