--- a/tests/core/test_balancer_stop.cc
+++ b/tests/core/test_balancer_stop.cc
@@ -15,25 +15,13 @@
 constexpr std::uint32_t kLeaving = 3;
 constexpr int kCallers = 24;
 
-void StartFleet(Cluster& cluster) {
-  ContractService service;
-  service.name = "claims";
-  service.full_name = "workshops/claims";
-  service.id = MakeServiceId(service.full_name);
-  service.addresses = {kClaims};
-  for (std::uint32_t i = 0; i < kBalancers; ++i) {
-    cluster.AddBalancer(i + 1, "north-1");
-  }
-  for (std::uint32_t i = 0; i < kAgents; ++i) {
-    cluster.AddAgent(kFirstAgent + i, "north-1", service.full_name);
-    service.servers.push_back(cluster.ServerEntry(kFirstAgent + i));
-  }
-  Contract contract;
-  contract.customer = "workshops";
-  contract.services = {service};
-  cluster.GetPlatform().Publish(contract);
-  cluster.ListHosts();
-  cluster.RunFor(seconds(5));
+void StartClaims(Cluster& cluster) {
+  FleetShape shape;
+  shape.address = kClaims;
+  shape.balancers = kBalancers;
+  shape.first_agent = kFirstAgent;
+  shape.agents = kAgents;
+  StartFleet(cluster, shape);
 }
 
 // A graceful shutdown of a balancer that agents send notifications through.
@@ -46,7 +34,7 @@
  public:
   void AgentsTurnToOthersWhileSessionsAreBusy() {
     Cluster cluster(7);
-    StartFleet(cluster);
+    StartClaims(cluster);
     for (int i = 0; i < kCallers; ++i) {
       cluster.AddCaller().Observe(kClaims, "jobs");
     }
@@ -71,7 +59,7 @@
   // Every balancer that its settings name is gone; the host list names others.
   void AgentStartsAfterItsSeedsWereReplaced() {
     Cluster cluster(7);
-    StartFleet(cluster);
+    StartClaims(cluster);
     for (std::uint32_t old = 1; old <= kBalancers; ++old) {
       cluster.AddBalancer(old + kBalancers, "north-1");
       cluster.RunFor(seconds(3));
--- a/tests/core/test_handover.cc
+++ b/tests/core/test_handover.cc
@@ -27,22 +27,15 @@
  public:
   void setUp() override {
     this->cluster = std::make_unique<Cluster>(3);
-    ContractService service;
-    service.name = "queue";
-    service.full_name = "garden/queue";
-    service.id = MakeServiceId(service.full_name);
-    service.addresses = {kQueue};
-    this->cluster->AddBalancer(kBalancer, "south-1");
-    for (const std::uint32_t node : {kLeaving, kTarget}) {
-      this->cluster->AddAgent(node, "south-1", service.full_name);
-      service.servers.push_back(this->cluster->ServerEntry(node));
-    }
-    Contract contract;
-    contract.customer = "garden";
-    contract.services = {service};
-    this->cluster->GetPlatform().Publish(contract);
-    this->cluster->ListHosts();
-    this->cluster->RunFor(seconds(5));
+    FleetShape shape;
+    shape.customer = "garden";
+    shape.service = "queue";
+    shape.address = kQueue;
+    shape.zone = "south-1";
+    shape.balancers = kBalancer;
+    shape.first_agent = kLeaving;
+    shape.agents = 2;  // the leaving one and the target
+    StartFleet(*this->cluster, shape);
   }
 
   void tearDown() override { this->cluster.reset(); }
--- a/tests/core/test_placement_race.cc
+++ b/tests/core/test_placement_race.cc
@@ -67,29 +67,18 @@
 
   void Start(std::uint64_t seed) {
     this->cluster = std::make_unique<Cluster>(seed);
-    ContractService service;
-    service.name = "diagrams";
-    service.full_name = "workshops/diagrams";
-    service.id = MakeServiceId(service.full_name);
-    service.addresses = {kDiagrams};
-    service.limits.requests_in_flight = kInFlight;
-    for (std::uint32_t i = 0; i < kBalancers; ++i) {
-      this->cluster->AddBalancer(i + 1, "north-1");
-    }
-    for (std::uint32_t i = 0; i < kAgents; ++i) {
-      this->cluster->AddAgent(kFirstAgent + i, "north-1", service.full_name);
-      this->cluster->GetServer(kFirstAgent + i).slots = kSlots;
-      service.servers.push_back(this->cluster->ServerEntry(kFirstAgent + i));
-    }
-    Contract contract;
-    contract.customer = "workshops";
-    contract.services = {service};
-    this->cluster->GetPlatform().Publish(contract);
-    this->cluster->ListHosts();
+    FleetShape shape;
+    shape.service = "diagrams";
+    shape.address = kDiagrams;
+    shape.balancers = kBalancers;
+    shape.first_agent = kFirstAgent;
+    shape.agents = kAgents;
+    shape.slots = kSlots;
+    shape.limits.requests_in_flight = kInFlight;
+    StartFleet(*this->cluster, shape);
     for (std::size_t i = 0; i < kCallers; ++i) {
       this->cluster->AddCaller();
     }
-    this->cluster->RunFor(seconds(5));
   }
 
   void ExpectAllAnswered(std::uint64_t seed) {
--- a/tests/core/test_whole_path.cc
+++ b/tests/core/test_whole_path.cc
@@ -32,24 +32,12 @@
  public:
   void setUp() override {
     this->cluster = std::make_unique<Cluster>(7);
-    ContractService service;
-    service.name = "claims";
-    service.full_name = "workshops/claims";
-    service.id = MakeServiceId(service.full_name);
-    service.addresses = {kClaims};
-    for (std::uint32_t i = 0; i < kBalancers; ++i) {
-      this->cluster->AddBalancer(i + 1, "north-1");
-    }
-    for (std::uint32_t i = 0; i < kAgents; ++i) {
-      this->cluster->AddAgent(kFirstAgent + i, "north-1", service.full_name);
-      service.servers.push_back(this->cluster->ServerEntry(kFirstAgent + i));
-    }
-    Contract contract;
-    contract.customer = "workshops";
-    contract.services = {service};
-    this->cluster->GetPlatform().Publish(contract);
-    this->cluster->ListHosts();
-    this->cluster->RunFor(seconds(5));
+    FleetShape shape;
+    shape.address = kClaims;
+    shape.balancers = kBalancers;
+    shape.first_agent = kFirstAgent;
+    shape.agents = kAgents;
+    StartFleet(*this->cluster, shape);
   }
 
   void tearDown() override { this->cluster.reset(); }
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -456,4 +456,30 @@
                   });
 }
 
+void StartFleet(Cluster& cluster, const FleetShape& shape) {
+  ContractService service;
+  service.name = shape.service;
+  service.full_name = shape.customer + "/" + shape.service;
+  service.id = MakeServiceId(service.full_name);
+  service.addresses = {shape.address};
+  service.limits = shape.limits;
+  for (std::uint32_t i = 0; i < shape.balancers; ++i) {
+    cluster.AddBalancer(i + 1, shape.zone);
+  }
+  for (std::uint32_t i = 0; i < shape.agents; ++i) {
+    const std::uint32_t node = shape.first_agent + i;
+    cluster.AddAgent(node, shape.zone, service.full_name);
+    if (shape.slots > 0) {
+      cluster.GetServer(node).slots = shape.slots;
+    }
+    service.servers.push_back(cluster.ServerEntry(node));
+  }
+  Contract contract;
+  contract.customer = shape.customer;
+  contract.services = {service};
+  cluster.GetPlatform().Publish(contract);
+  cluster.ListHosts();
+  cluster.RunFor(std::chrono::seconds(5));
+}
+
 }  // namespace cactuscross::testing
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -129,6 +129,23 @@
   std::set<std::uint32_t> sprayed;
 };
 
+// A service of one customer with its processes, all in one zone.
+struct FleetShape {
+  std::string customer = "workshops";
+  std::string service = "claims";
+  Endpoint address;
+  std::string zone = "north-1";
+  std::uint32_t balancers = 3;  // nodes from 1
+  std::uint32_t first_agent = 11;
+  std::uint32_t agents = 4;
+  std::uint32_t slots = 0;  // of each server; 0: as it comes
+  ServiceLimits limits;
+};
+
+// Starts the processes of `shape`, publishes the contract, and runs until all
+// have heard of it.
+void StartFleet(Cluster& cluster, const FleetShape& shape);
+
 }  // namespace cactuscross::testing
 
 #endif  // CACTUSCROSS_TESTS_SUPPORT_CLUSTER_H_
