A digest that names many unknown peers no longer corrupts memory

GossipPeers::NoteDigest kept a pointer to the sender's entry in a vector, added the peers that the digest names, and returned the pointer. If the vector had to grow, ViewGossip::OnDigest read the freed memory and wrote the time of the pull to it. The sender is now looked up after the peers have been added.

The crashes did not repeat at will, so that this was their cause is likely, not proved.

A crash now leaves a log line with the signal and the stack, and `make sanitize` runs unit tests, simulations and flow processes under AddressSanitizer and UndefinedBehaviorSanitizer.

--- a/Makefile
+++ b/Makefile
@@ -3,12 +3,13 @@
 JOBS ?= $(shell nproc)
 SOURCES = $(shell git ls-files -co --exclude-standard '*.cc' '*.h' | grep -v '\.pb\.')
 
-.PHONY: help deps build test demo demo-keep bench bench-path bench-control format format-check lint include-check ci
+.PHONY: help deps build test sanitize demo demo-keep bench bench-path bench-control format format-check lint include-check ci
 
 help:
 	@echo "make demo   install dependencies, build, run a demo of all processes on loopback"
 	@echo "make demo-keep  the same demo, left running until Ctrl-C"
 	@echo "make test   install dependencies, build, run every test"
+	@echo "make sanitize  run the unit tests, simulations and flow processes under sanitizers"
 	@echo "make bench  compare the balancing policies; tables and plots are written to out/"
 	@echo "make bench-path  compare balancer and agent with plain UDP relays on loopback"
 	@echo "make bench-control  measure scaling of the control plane and cost of the data path, to out/"
@@ -23,6 +24,14 @@
 build: deps $(BUILD)/build.ninja
 	@cmake --build $(BUILD) -j $(JOBS)
 
+# A first report ends the process, so that a test cannot pass beside it.
+sanitize: export UBSAN_OPTIONS = halt_on_error=1:print_stacktrace=1
+sanitize: deps
+	@cmake -S . -B $(BUILD)-sanitize -G Ninja -DCACTUSCROSS_SANITIZE=ON > /dev/null
+	@cmake --build $(BUILD)-sanitize -j $(JOBS) --target cactuscross cactuscross_tests
+	@$(BUILD)-sanitize/tests/cactuscross_tests --quiet
+	@tests/run_flow_processes.sh $(BUILD)-sanitize
+
 demo: build
 	@python3 -B demo/demo.py $(BUILD)
 
--- a/src/core/flow/gossip_peers.cc
+++ b/src/core/flow/gossip_peers.cc
@@ -40,16 +40,18 @@
 
 GossipPeer* GossipPeers::NoteDigest(TimePoint now,
                                     const GossipMessage& digest) {
-  GossipPeer* peer = this->FindOrAdd(digest.sender);
+  this->FindOrAdd(digest.sender);
+  for (const Endpoint& other : digest.peers) {
+    this->FindOrAdd(other);
+  }
+  // Looked up last, because adding a peer invalidates pointers to others.
+  GossipPeer* peer = this->Find(digest.sender);
   if (peer != nullptr) {
     peer->digest_received = true;
     peer->last_digest_at = now;
     peer->view_version = digest.view_version;
     peer->confirmed_at = now - digest.age;
   }
-  for (const Endpoint& other : digest.peers) {
-    this->FindOrAdd(other);
-  }
   return peer;
 }
 
@@ -116,11 +118,13 @@
 }
 
 bool GossipPeers::HasReceivedDigest(const Endpoint& control) const {
-  const GossipPeer* peer = this->Find(control);
-  return peer != nullptr && peer->digest_received;
+  return std::any_of(this->peers.begin(), this->peers.end(),
+                     [&control](const GossipPeer& peer) {
+                       return peer.control == control && peer.digest_received;
+                     });
 }
 
-const GossipPeer* GossipPeers::Find(const Endpoint& control) const {
+GossipPeer* GossipPeers::Find(const Endpoint& control) {
   const auto found = std::find_if(
       this->peers.begin(), this->peers.end(),
       [&control](const GossipPeer& peer) { return peer.control == control; });
@@ -131,10 +135,8 @@
   if (control == this->own_control || control.port == 0) {
     return nullptr;
   }
-  for (GossipPeer& peer : this->peers) {
-    if (peer.control == control) {
-      return &peer;
-    }
+  if (GossipPeer* known = this->Find(control)) {
+    return known;
   }
   if (this->peers.size() >= kMaxPeers) {
     return nullptr;
--- a/src/core/flow/gossip_peers.h
+++ b/src/core/flow/gossip_peers.h
@@ -29,7 +29,8 @@
   // Replaces the seeds after a reload of the settings.
   void SetSeeds(const std::vector<Endpoint>& seeds);
   // Records a digest and the peers that it names. Returns its sender, or null
-  // if the table is full.
+  // if the table is full. The pointer is valid until peers are added or
+  // removed.
   GossipPeer* NoteDigest(TimePoint now, const GossipMessage& digest);
   bool HasReceivedDigest(const Endpoint& control) const;
   // Removes peers that have stopped sending digests, except seeds.
@@ -50,7 +51,7 @@
   TimePoint ConfirmedAt(TimePoint now) const;
 
  private:
-  const GossipPeer* Find(const Endpoint& control) const;
+  GossipPeer* Find(const Endpoint& control);
   GossipPeer* FindOrAdd(const Endpoint& control);
   static bool IsAlive(TimePoint now, const GossipPeer& peer);
 
--- a/src/shell/log.cc
+++ b/src/shell/log.cc
@@ -9,6 +9,7 @@
 #include <ctime>
 #include <string>
 
+#include "src/shell/crash_log.h"
 #include "src/shell/system.h"
 
 namespace cactuscross {
@@ -47,12 +48,20 @@
   return std::string(date.data(), size) + "." + fraction.substr(1) + "Z";
 }
 
-void InitGlog(std::string_view program) {
+// Replaces invalid UTF-8.
+std::string ToText(const nlohmann::ordered_json& json) {
+  return json.dump(-1, ' ', true,
+                   nlohmann::ordered_json::error_handler_t::replace);
+}
+
+// `descriptor`: where glog writes its lines.
+void InitGlog(std::string_view program, int descriptor) {
   static const std::string name(program);
   FLAGS_log_prefix = false;
   if (!google::IsGoogleLoggingInitialized()) {
     google::InitGoogleLogging(name.c_str());
   }
+  InstallCrashLog(ToText(node_identity), descriptor);
 }
 
 }  // namespace
@@ -60,7 +69,7 @@
 void InitLogging(std::string_view program, NodeId node) {
   node_identity = ToNumber(node);
   FLAGS_logtostderr = true;
-  InitGlog(program);
+  InitGlog(program, STDERR_FILENO);
 }
 
 void InitLogging(std::string_view program, std::string_view node_name) {
@@ -68,7 +77,7 @@
   FLAGS_logtostdout = true;
   setvbuf(stdout, nullptr, _IOLBF, kStdoutBufferBytes);
   fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
-  InitGlog(program);
+  InitGlog(program, STDOUT_FILENO);
 }
 
 void Log(LogSeverity severity,
@@ -86,8 +95,7 @@
   line["category"] = category;
   line["message"] = message;
   line["fields"] = fields;
-  google::LogMessage(__FILE__, __LINE__, row.glog).stream() << line.dump(
-      -1, ' ', true, nlohmann::ordered_json::error_handler_t::replace);
+  google::LogMessage(__FILE__, __LINE__, row.glog).stream() << ToText(line);
 }
 
 }  // namespace cactuscross
--- a/tests/flow_processes/run.py
+++ b/tests/flow_processes/run.py
@@ -7,6 +7,7 @@
 
 import argparse
 import http.client
+import json
 import os
 import pathlib
 import random
@@ -280,8 +281,25 @@
     expect(flow and flow.exchange(b"x") not in (None, "reset"), "not served")
 
 
+def crash_is_logged(site):
+    """A process that ends by a fault logs the signal and its stack, and still
+    ends by that signal."""
+    for name in ("balancer-0", "agent-0"):
+        process = site.processes[name]
+        site.signal(name, signal.SIGSEGV)
+        expect(process.wait(timeout=5) == -signal.SIGSEGV,
+               f"{name} did not end by SIGSEGV")
+        line = json.loads(site.log(name).splitlines()[-1])
+        expect(line["message"] == "crashed" and line["node"] == name,
+               f"{name} did not log its crash")
+        expect(line["fields"]["signal"] == signal.SIGSEGV,
+               f"{name} logged another signal")
+        expect(len(line["fields"]["stack"]) > 3, f"{name} logged no stack")
+
+
 SCENARIOS = [flows_are_whole, balancer_is_replaced, agent_is_killed, server_dies,
-             restart_without_store, routes_and_drain, settings_change]
+             restart_without_store, routes_and_drain, settings_change,
+             crash_is_logged]
 
 
 def main():
