The wait of an opening follows the route's time limit

Cause: an opening that found all servers saturated waited for 1.2 s, a figure of the first two sites. The wait is now half of the route's time limit, at most 1.2 s as before, so that the client can try once more. Time limits travel with the routes.

Test: FlowPartsTest::WaitingOpeningsLeaveTimeForAnotherAttempt.

--- a/include/cactuscross/flow_view.h
+++ b/include/cactuscross/flow_view.h
@@ -77,6 +77,8 @@
 struct FlowRoute {
   Endpoint service_address;
   std::vector<ServiceShare> services;
+  // Time that clients give a request, with all its attempts; 0: unknown.
+  Duration time_limit{0};
 };
 
 // One version of the complete set of routes.
--- a/src/core/flow/flow_balancer.cc
+++ b/src/core/flow/flow_balancer.cc
@@ -80,7 +80,7 @@
   void OnNoRoute(const FlowPacket& packet, TimePoint arrived_at);
   void OnOpening(const FlowPacket& packet,
                  TimePoint arrived_at,
-                 const std::vector<ServiceShare>& shares);
+                 const FlowRoute& route);
   void OnNonOpening(const FlowPacket& packet,
                     const std::vector<ServiceShare>& shares);
 
@@ -248,9 +248,10 @@
     return;
   }
   this->cache.Erase(notice.flow);
-  const auto* shares = this->view.Routes().Find(notice.flow.service_address);
-  if (shares != nullptr && !notice.packet.empty()) {
-    this->searcher.Begin(this->now, notice.flow, *shares, notice.packet,
+  const FlowRoute* route =
+      this->view.Routes().Find(notice.flow.service_address);
+  if (route != nullptr && !notice.packet.empty()) {
+    this->searcher.Begin(this->now, notice.flow, route->services, notice.packet,
                          notice.acknowledgement, true);
   }
 }
@@ -273,16 +274,17 @@
 
 void FlowBalancer::Impl::OnPacket(const FlowPacket& packet,
                                   TimePoint arrived_at) {
-  const auto* shares = this->view.Routes().Find(packet.flow.service_address);
+  const FlowRoute* route =
+      this->view.Routes().Find(packet.flow.service_address);
   if (packet.opening && packet.acknowledges) {
     // A SYN-ACK can't come from a client.
     this->metrics.Count("flow_packets_dropped", "reason", "forged");
-  } else if (shares == nullptr || !this->view.IsLoaded()) {
+  } else if (route == nullptr || !this->view.IsLoaded()) {
     this->OnNoRoute(packet, arrived_at);
   } else if (packet.opening) {
-    this->OnOpening(packet, arrived_at, *shares);
+    this->OnOpening(packet, arrived_at, *route);
   } else {
-    this->OnNonOpening(packet, *shares);
+    this->OnNonOpening(packet, route->services);
   }
 }
 
@@ -308,7 +310,7 @@
 
 void FlowBalancer::Impl::OnOpening(const FlowPacket& packet,
                                    TimePoint arrived_at,
-                                   const std::vector<ServiceShare>& shares) {
+                                   const FlowRoute& route) {
   if (Opening* opening = this->openings.Find(packet.flow)) {
     NoteTransmission(*opening, packet.retransmit_count);
     // The client retransmits: the datagram to or from the server may be lost.
@@ -334,7 +336,8 @@
     this->metrics.Count("flow_packets_dropped", "reason", "openings_full");
     return;
   }
-  opening->service = ChooseService(packet.flow, shares);
+  opening->service = ChooseService(packet.flow, route.services);
+  opening->max_wait = MaxWait(route.time_limit);
   opening->packet.assign(packet.bytes.begin(), packet.bytes.end());
   opening->started_at = arrived_at;
   NoteTransmission(*opening, packet.retransmit_count);
--- a/src/core/flow/opening_table.cc
+++ b/src/core/flow/opening_table.cc
@@ -8,6 +8,8 @@
 // A client abandons an opening after 1.4 s. It is reset earlier so that it can
 // try again.
 constexpr Duration kMaxWait{1200000};
+// Part of a request's time limit that its opening may wait.
+constexpr int kWaitDivisor = 2;
 
 // A transmission may arrive this long after the expected time.
 constexpr Duration kMaxTransitDelay{50000};
@@ -40,6 +42,12 @@
   return true;
 }
 
+Duration MaxWait(Duration time_limit) {
+  return time_limit == Duration{0}
+             ? kMaxWait
+             : std::min(kMaxWait, time_limit / kWaitDivisor);
+}
+
 std::vector<FlowKey> OpeningTable::WaitingFlows() const {
   std::vector<const Opening*> waiting;
   for (const auto& [flow, opening] : this->entries) {
@@ -62,7 +70,7 @@
 std::vector<FlowKey> OpeningTable::WaitTimedOut(TimePoint now) const {
   std::vector<FlowKey> flows;
   for (const auto& [flow, opening] : this->entries) {
-    if (opening.waiting && now - opening.started_at >= kMaxWait) {
+    if (opening.waiting && now - opening.started_at >= opening.max_wait) {
       flows.push_back(flow);
     }
   }
--- a/src/core/flow/opening_table.h
+++ b/src/core/flow/opening_table.h
@@ -28,6 +28,7 @@
   // an old one is already late.
   TimePoint request_started_at;
   bool waiting = false;  // all servers are saturated
+  Duration max_wait{0};  // for a server, from `started_at`
   // Bit i is set if the client's transmission i arrived here.
   std::uint32_t seen_transmissions = 0;
 };
@@ -45,6 +46,11 @@
 // opened the flow meanwhile, and a reset would end an open flow.
 bool HasAllTransmissions(TimePoint now, const Opening& opening);
 
+// Maximum time that an opening of a request with this time limit waits for a
+// server (0: unknown). The client is then told that the request has not run,
+// with enough of its time left for another attempt.
+Duration MaxWait(Duration time_limit);
+
 // The capacity plan expects 120 new flows per second and balancer, and a client
 // abandons an opening after 1.4 s.
 inline constexpr std::size_t kMaxOpenings = 4096;
@@ -53,7 +59,7 @@
  public:
   // Flows that wait for server capacity, newest request first.
   std::vector<FlowKey> WaitingFlows() const;
-  // Flows that have waited for the maximum time.
+  // Flows that have waited for their maximum time.
   std::vector<FlowKey> WaitTimedOut(TimePoint now) const;
 };
 
--- a/src/core/flow/route_set.cc
+++ b/src/core/flow/route_set.cc
@@ -12,13 +12,12 @@
   this->version = routes.version;
   this->routes.clear();
   for (const FlowRoute& route : routes.routes) {
-    this->routes[route.service_address] = route.services;
+    this->routes[route.service_address] = route;
   }
   return true;
 }
 
-const std::vector<ServiceShare>* ActiveRoutes::Find(
-    const Endpoint& address) const {
+const FlowRoute* ActiveRoutes::Find(const Endpoint& address) const {
   const auto found = this->routes.find(address);
   return found == this->routes.end() ? nullptr : &found->second;
 }
@@ -26,8 +25,8 @@
 std::vector<FlowRoute> ActiveRoutes::All() const {
   std::vector<FlowRoute> all;
   all.reserve(this->routes.size());
-  for (const auto& [address, services] : this->routes) {
-    all.push_back({address, services});
+  for (const auto& [address, route] : this->routes) {
+    all.push_back(route);
   }
   return all;
 }
--- a/src/core/flow/route_set.h
+++ b/src/core/flow/route_set.h
@@ -23,13 +23,13 @@
   std::size_t Size() const { return this->routes.size(); }
   std::vector<FlowRoute> All() const;
 
-  // Services of the route for `address`; null if there is no such route.
-  const std::vector<ServiceShare>* Find(const Endpoint& address) const;
+  // Route for `address`; null if there is none. Valid until the next Apply().
+  const FlowRoute* Find(const Endpoint& address) const;
 
  private:
   bool loaded = false;
   std::uint64_t version = 0;
-  std::unordered_map<Endpoint, std::vector<ServiceShare>, EndpointHash> routes;
+  std::unordered_map<Endpoint, FlowRoute, EndpointHash> routes;
 };
 
 // Selects the service of a new flow in proportion to the weights. The result is
--- a/src/wire/flow_codec.cc
+++ b/src/wire/flow_codec.cc
@@ -19,6 +19,7 @@
 // Larger values in a gossip message are clamped to these limits.
 constexpr std::uint64_t kMaxAgeMs = 3600000;
 constexpr std::uint32_t kMaxWarmupMs = 600000;
+constexpr std::uint32_t kMaxTimeLimitMs = 3600000;
 constexpr std::uint32_t kMaxSlots = 65535;
 
 std::uint64_t ToMilliseconds(Duration duration) {
@@ -38,6 +39,8 @@
 
 void SetRoute(const FlowRoute& route, wire::FlowRoute& message) {
   SetAddress(route.service_address, *message.mutable_address());
+  message.set_time_limit_ms(
+      static_cast<std::uint32_t>(ToMilliseconds(route.time_limit)));
   for (const ServiceShare& share : route.services) {
     wire::FlowShare& added = *message.add_services();
     added.set_service(ToNumber(share.service));
@@ -48,6 +51,8 @@
 FlowRoute ToRoute(const wire::FlowRoute& message) {
   FlowRoute route;
   route.service_address = ToEndpoint(message.address());
+  route.time_limit = std::chrono::milliseconds(
+      std::min(message.time_limit_ms(), kMaxTimeLimitMs));
   for (const wire::FlowShare& share : message.services()) {
     route.services.push_back({ServiceId{share.service()}, share.weight()});
   }
--- a/tests/flow/test_flow_parts.cc
+++ b/tests/flow/test_flow_parts.cc
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(LeastLoadedOfThreeIsChosen);
   CPPUNIT_TEST(SaturatedServersGetNoNewFlows);
   CPPUNIT_TEST(NewestRequestLeavesTheQueueFirst);
+  CPPUNIT_TEST(WaitingOpeningsLeaveTimeForAnotherAttempt);
   CPPUNIT_TEST(UnresponsiveStoreGetsConcurrentCalls);
   CPPUNIT_TEST(AnswersToOlderCallsAreIgnored);
   CPPUNIT_TEST(LostHistoryIsFollowedByAList);
@@ -70,7 +71,7 @@
  public:
   void RouteSetVersionsOnlyIncrease() {
     ActiveRoutes routes;
-    RouteSet newer{7, {{kFlow.service_address, {{ServiceId{1}, 1}}}}, {}};
+    RouteSet newer{7, {{kFlow.service_address, {{ServiceId{1}, 1}}, {}}}, {}};
     CPPUNIT_ASSERT(routes.Apply(newer));
     CPPUNIT_ASSERT(!routes.Apply(RouteSet{6, {}, {}}));
     CPPUNIT_ASSERT(!routes.Apply(newer));
@@ -202,6 +203,7 @@
       flow.client.port = port;
       Opening& opening = *openings.Add(flow);
       opening.waiting = true;
+      opening.max_wait = MaxWait(Duration{0});
       opening.started_at = kStart;
       opening.request_started_at = kStart + milliseconds(port == 2 ? 50 : port);
     }
@@ -213,6 +215,22 @@
         openings.WaitTimedOut(kStart + milliseconds(1300)).size());
   }
 
+  // Load pattern: all servers are saturated for longer than clients wait. They
+  // are told in time for another attempt.
+  void WaitingOpeningsLeaveTimeForAnotherAttempt() {
+    OpeningTable openings;
+    Opening& opening = *openings.Add(kFlow);
+    opening.waiting = true;
+    opening.started_at = kStart;
+    opening.max_wait = MaxWait(milliseconds(1000));
+    CPPUNIT_ASSERT(openings.WaitTimedOut(kStart + milliseconds(499)).empty());
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t{1},
+        openings.WaitTimedOut(kStart + milliseconds(500)).size());
+    // With more time, the client's own limit for an opening counts.
+    CPPUNIT_ASSERT(Duration(milliseconds(1200)) == MaxWait(seconds(8)));
+  }
+
   // While a call is unanswered, a hedged call is added every 250 ms.
   void UnresponsiveStoreGetsConcurrentCalls() {
     StoreReader reader(StoreSubject::kServers, kSeed);
@@ -353,7 +371,7 @@
     message.readers = {{{0x0A010002, 7}, milliseconds(40)}};
     message.age = milliseconds(250);
     message.servers = {MakeChange("a", 41, 9)};
-    message.routes = {{kFlow.service_address, {{ServiceId{8}, 3}}}};
+    message.routes = {{kFlow.service_address, {{ServiceId{8}, 3}}, seconds(4)}};
     const auto gossip =
         DecodeFlowGossip(EncodeFlowGossip(message), {0x0A010001, 7});
     CPPUNIT_ASSERT(gossip.has_value());
@@ -367,6 +385,7 @@
     CPPUNIT_ASSERT_EQUAL(9U, gossip->servers.at(0).server.host);
     CPPUNIT_ASSERT_EQUAL(3U, gossip->routes.at(0).services.at(0).weight);
     CPPUNIT_ASSERT(Duration(milliseconds(250)) == gossip->age);
+    CPPUNIT_ASSERT(Duration(seconds(4)) == gossip->routes.at(0).time_limit);
     CPPUNIT_ASSERT(!DecodeFlowGossip(Bytes{0xFF, 0xFF}, {}).has_value());
     CPPUNIT_ASSERT(!DecodeFlowNotice(Bytes{0x08, 0x63}, 1).has_value());
   }
--- a/tests/support/flow_simulation_store.cc
+++ b/tests/support/flow_simulation_store.cc
@@ -156,7 +156,7 @@
       routes.version = this->routes_version;
       for (const auto& [port, service] : this->routes_history.back().routes) {
         routes.routes.push_back(
-            {{kRouteAddress, port}, {{MakeServiceId(service), 1}}});
+            {{kRouteAddress, port}, {{MakeServiceId(service), 1}}, {}});
       }
       answer.routes.push_back(std::move(routes));
     }
