An agent's load notices do not grow with the number of balancers

Each agent sent every change of its load to every balancer that had contacted it, up to ten times a second: 590 notices a second at 59 balancers. The interval now grows with the number of balancers (5 ms each, at least 0.1 s as before, at most 0.5 s), which changes nothing below 20 of them.

Test: FlowFleetTest::LoadNoticesDoNotGrowWithTheFleet.

--- a/src/core/flow/flow_agent.cc
+++ b/src/core/flow/flow_agent.cc
@@ -18,8 +18,10 @@
 constexpr Duration kBalancerTimeout{3000000};
 
 // Minimum time between two notices of a changed load, and maximum time without
-// a notice.
+// a notice. The minimum grows with the number of balancers, so that an agent
+// sends at most 200 notices a second to up to 100 balancers.
 constexpr Duration kMinLoadInterval{100000};
+constexpr Duration kLoadIntervalPerBalancer{5000};
 constexpr Duration kMaxLoadInterval{500000};
 
 // A forwarded opening counts as a request in progress for this time. The client
@@ -326,8 +328,11 @@
   const bool changed = load.running != this->advertised_load.running ||
                        load.open_flows != this->advertised_load.open_flows;
   const Duration since = this->now - this->advertised_at;
+  const Duration min_interval =
+      std::clamp<Duration>(kLoadIntervalPerBalancer * this->balancers.size(),
+                           kMinLoadInterval, kMaxLoadInterval);
   if (load.down == this->advertised_load.down && since < kMaxLoadInterval &&
-      (!changed || since < kMinLoadInterval)) {
+      (!changed || since < min_interval)) {
     return;
   }
   this->advertised_load = load;
--- a/tests/flow/test_flow_fleet.cc
+++ b/tests/flow/test_flow_fleet.cc
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(ChangeAfterAnOutageIsInForceEverywhere);
   CPPUNIT_TEST(FewBalancersReplaceLostReaders);
   CPPUNIT_TEST(ReaderThatTheStoreRejectsIsReplaced);
+  CPPUNIT_TEST(LoadNoticesDoNotGrowWithTheFleet);
   CPPUNIT_TEST(FullPeerTableTakesNewPeers);
   CPPUNIT_TEST(PeersThatWereOnlyNamedExpire);
   CPPUNIT_TEST_SUITE_END();
@@ -174,6 +175,42 @@
     CPPUNIT_ASSERT(rejected.Update(kStart + milliseconds(3200), {{}, true, 5}));
   }
 
+  // Load pattern: requests of many balancers keep changing a server's load. Its
+  // agent sends at most 200 notices a second.
+  void LoadNoticesDoNotGrowWithTheFleet() {
+    FlowAgentSettings settings;
+    settings.service = "desk";
+    settings.node.data = {9, 1};
+    settings.server = {9, 2};
+    FlowAgent agent(settings);
+    std::size_t notices = 0;
+    for (int tick = 0; tick < 150; ++tick) {
+      FlowAgentInbox inbox;
+      for (std::uint32_t i = 0; tick % 50 == 0 && i < kLargeFleet; ++i) {
+        FlowNotice query;
+        query.kind = NoticeKind::kQuery;
+        query.sender = Control(i).address;
+        query.service_tag = ServiceTag(MakeServiceId("desk"));
+        inbox.notices.push_back(query);
+      }
+      FlowPacket request;
+      request.flow = {{0x64400007, 40001}, {0xC6120001, 443}};
+      request.mark.service_tag = ServiceTag(MakeServiceId("desk"));
+      request.sender = Control(0).address;
+      request.opening = true;
+      request.flow.client.port = static_cast<std::uint16_t>(1000 + tick);
+      inbox.from_balancers.push_back(request);
+      const FlowAgentOutbox outbox =
+          agent.Tick(kStart + tick * milliseconds(20), inbox);
+      // The first second includes the replies to the first queries.
+      notices += tick < 50 ? 0 : outbox.notices.size();
+    }
+    // 2 s at 200 notices, and the replies to two rounds of queries.
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(notices) + " notices",
+                           notices <= 2 * 200 + 2 * kLargeFleet);
+    CPPUNIT_ASSERT(notices > 2 * kLargeFleet);
+  }
+
   void FullPeerTableTakesNewPeers() {
     GossipPeers peers(Control(0), {Control(1)});
     GossipMessage digest;
