Event loops read only the descriptors that are ready

A wake-up for one packet cost some 13 system calls: all sockets, the signals and both HTTP listeners were read, whether ready or not, and all of them again until one round found nothing. On balancers of 0.12 cores that decides how late packets are in the worst seconds. The loops now read what poll() reported, and repeat only after a full batch.

Test: PollSetTest; the scenarios of the flow processes.

--- a/src/shell/flow/flow_process.cc
+++ b/src/shell/flow/flow_process.cc
@@ -50,14 +50,21 @@
   }
 }
 
-void FlowProcess::Wait(std::vector<pollfd>& entries) {
+void FlowProcess::Wait(std::vector<pollfd> entries) {
   entries.push_back({this->data.Get(), POLLIN, 0});
   entries.push_back({this->peer.Get(), POLLIN, 0});
   entries.push_back({this->stop_signal.Get(), POLLIN, 0});
   for (const HttpListener& listener : this->listeners) {
     listener.AppendPollEntries(entries);
   }
-  poll(entries.data(), entries.size(), kTickMs);
+  this->poll_set.Wait(std::move(entries), kTickMs);
+}
+
+bool FlowProcess::StopRequested() {
+  if (this->IsReady(this->stop_signal.Get())) {
+    this->stop_requested = this->stop_signal.Check();
+  }
+  return this->stop_requested;
 }
 
 bool FlowProcess::SettingsChanged(TimePoint now) {
@@ -67,13 +74,16 @@
 
 void FlowProcess::Serve(TimePoint now) {
   for (HttpListener& listener : this->listeners) {
-    listener.Continue(now);
+    listener.Continue(now, this->poll_set);
   }
 }
 
 std::vector<FlowPacket> FlowProcess::ReceivePackets(const UdpSocket& socket,
                                                     bool from_server) {
   std::vector<FlowPacket> packets;
+  if (!this->IsReady(socket.Get())) {
+    return packets;
+  }
   for (const ReceivedDatagram& datagram : socket.Receive()) {
     auto packet = this->adapter.codec->Decode(datagram.bytes, from_server);
     if (!packet || datagram.truncated) {
@@ -88,6 +98,9 @@
 
 std::vector<FlowNotice> FlowProcess::ReceiveNotices() {
   std::vector<FlowNotice> notices;
+  if (!this->IsReady(this->peer.Get())) {
+    return notices;
+  }
   for (const ReceivedDatagram& datagram : this->peer.Receive()) {
     auto notice = DecodeFlowNotice(datagram.bytes, datagram.source.address);
     if (notice) {
--- a/src/shell/flow/flow_process.h
+++ b/src/shell/flow/flow_process.h
@@ -10,6 +10,7 @@
 #include <exception>
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cactuscross/flow_balancer.h"
@@ -17,6 +18,7 @@
 #include "src/shell/flow/flow_adapter.h"
 #include "src/shell/flow/flow_log.h"
 #include "src/shell/flow/http_listener.h"
+#include "src/shell/flow/poll_set.h"
 #include "src/shell/flow/settings_watch.h"
 #include "src/shell/log.h"
 #include "src/shell/system.h"
@@ -48,7 +50,7 @@
   void RunOnce(Loop& loop) {
     std::vector<pollfd> entries;
     loop.AppendPollEntries(entries);
-    this->Wait(entries);
+    this->Wait(std::move(entries));
     for (int batch = 0; batch < kMaxBatchesPerPoll && loop.TickOnce();
          ++batch) {
     }
@@ -58,8 +60,13 @@
     }
   }
 
-  // Receives one batch of packets. They are valid until the next Receive() of
-  // any socket.
+  // True if the last wait found the descriptor ready.
+  bool IsReady(int descriptor) const {
+    return this->poll_set.IsReady(descriptor);
+  }
+
+  // Receives one batch of packets if the socket is ready. They are valid until
+  // the next Receive() of any socket.
   std::vector<FlowPacket> ReceivePackets(const UdpSocket& socket,
                                          bool from_server);
   std::vector<FlowNotice> ReceiveNotices();
@@ -72,7 +79,7 @@
   void CountUndecodable() { ++this->undecodable; }
   void SendNotices(const std::vector<OutgoingNotice>& notices);
 
-  bool StopRequested() { return this->stop_signal.Check(); }
+  bool StopRequested();
   // Content of the settings file at the last detected change.
   const std::string& SettingsText() const {
     return this->settings_watch.Text();
@@ -89,7 +96,7 @@
  private:
   // Blocks until one of the process's own channels or `entries` is ready, at
   // most until the next tick is due.
-  void Wait(std::vector<pollfd>& entries);
+  void Wait(std::vector<pollfd> entries);
 
   // Serves HTTP requests.
   void Serve(TimePoint now);
@@ -103,6 +110,8 @@
   const MetricsSource metrics;
   SettingsWatch settings_watch;
   StopSignal stop_signal;
+  bool stop_requested = false;
+  PollSet poll_set;
   FlowLog log;
   UdpSocket data;
   UdpSocket peer;
--- a/src/shell/flow/http_listener.cc
+++ b/src/shell/flow/http_listener.cc
@@ -57,13 +57,17 @@
   }
 }
 
-void HttpListener::Continue(TimePoint now) {
-  this->Accept(now);
+void HttpListener::Continue(TimePoint now, const PollSet& poll_set) {
+  if (poll_set.IsReady(this->socket.Get())) {
+    this->Accept(now);
+  }
   for (auto connection = this->connections.begin();
        connection != this->connections.end();) {
-    connection = this->Serve(now, *connection)
-                     ? std::next(connection)
-                     : this->connections.erase(connection);
+    const bool keep = poll_set.IsReady(connection->socket.Get())
+                          ? this->Serve(now, *connection)
+                          : now - connection->last_used < kIdleTimeout;
+    connection =
+        keep ? std::next(connection) : this->connections.erase(connection);
   }
 }
 
@@ -91,7 +95,7 @@
     const ssize_t count =
         recv(connection.socket.Get(), buffer.data(), buffer.size(), 0);
     if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
-      return now - connection.last_used < kIdleTimeout;
+      return true;
     }
     if (count <= 0) {
       return false;
--- a/src/shell/flow/http_listener.h
+++ b/src/shell/flow/http_listener.h
@@ -17,6 +17,7 @@
 #include <pistache/http.h>
 
 #include "cactuscross/types.h"
+#include "src/shell/flow/poll_set.h"
 #include "src/shell/system.h"
 
 namespace cactuscross {
@@ -36,7 +37,7 @@
 
   void AppendPollEntries(std::vector<pollfd>& entries) const;
   // Accepts pending connections and serves pending requests without blocking.
-  void Continue(TimePoint now);
+  void Continue(TimePoint now, const PollSet& poll_set);
 
  private:
   struct Connection {
@@ -46,7 +47,8 @@
   };
 
   void Accept(TimePoint now);
-  // Returns false if the connection must be closed.
+  // Serves the requests that have arrived. Returns false if the connection must
+  // be closed.
   bool Serve(TimePoint now, Connection& connection);
   bool Reply(Connection& connection);
 
--- a/src/shell/flow/run_flow_agent.cc
+++ b/src/shell/flow/run_flow_agent.cc
@@ -36,7 +36,7 @@
     this->probe.AppendPollEntries(entries);
   }
 
-  // Runs one tick per packet socket, because received packets point into a
+  // Handles one packet socket per tick, because received packets point into a
   // buffer that both sockets share. Returns whether more packets may be
   // pending.
   bool TickOnce() {
@@ -44,15 +44,17 @@
     inbox.notices = this->process.ReceiveNotices();
     inbox.from_server =
         this->process.ReceivePackets(this->outbound, /*from_server=*/true);
-    bool more = !inbox.from_server.empty();
-    this->Tick(inbox);
+    bool more = inbox.from_server.size() == kReceiveBatch;
+    if (!inbox.notices.empty() || !inbox.from_server.empty()) {
+      this->Tick(inbox);
+    }
 
     inbox = FlowAgentInbox();
     inbox.probe = this->probe.Continue(MonotonicNow());
     inbox.stop_requested = this->process.StopRequested();
     inbox.from_balancers = this->process.ReceivePackets(this->process.Data(),
                                                         /*from_server=*/false);
-    more = more || !inbox.from_balancers.empty();
+    more = more || inbox.from_balancers.size() == kReceiveBatch;
     this->Tick(inbox);
     return more;
   }
--- a/src/shell/flow/run_flow_balancer.cc
+++ b/src/shell/flow/run_flow_balancer.cc
@@ -65,8 +65,8 @@
     // Received last, because the packets point into the buffers that the next
     // Receive() overwrites.
     inbox.packets = this->process.ReceivePackets(this->process.Data(), false);
-    const bool more =
-        !inbox.packets.empty() || inbox.notices.size() == kReceiveBatch;
+    const bool more = inbox.packets.size() == kReceiveBatch ||
+                      inbox.notices.size() == kReceiveBatch;
     FlowBalancerOutbox outbox = this->balancer.Tick(now, inbox);
     this->process.SendPackets(this->process.Data(), std::move(outbox.forwards));
     this->process.SendResets(this->process.Data(), outbox.resets);
@@ -84,7 +84,7 @@
  private:
   std::vector<GossipMessage> ReceiveGossip() {
     std::vector<GossipMessage> messages;
-    if (!this->control) {
+    if (!this->control || !this->process.IsReady(this->control->Get())) {
       return messages;
     }
     for (const ReceivedDatagram& datagram : this->control->Receive()) {
