--- a/src/config/field_description.cc
+++ b/src/config/field_description.cc
@@ -32,11 +32,13 @@
 }
 
 template <typename Value>
-std::string DescribeDefault(const Value& value) {
+std::string DescribeDefault(const Value& value, std::string_view unit) {
   if constexpr (kIsEntity<Value>) {
     return "see below";
   } else if constexpr (kIsEntityList<Value>) {
     return "empty";
+  } else if constexpr (std::is_same_v<Value, Duration>) {
+    return FormatValue(value, unit);
   } else {
     return FormatValue(value);
   }
@@ -65,9 +67,10 @@
   std::visit(
       [&](auto member) {
         field.type = DescribeType(defaults.*member);
-        field.default_value = row.info.presence == Presence::kRequired
-                                  ? "required"
-                                  : DescribeDefault(defaults.*member);
+        field.default_value =
+            row.info.presence == Presence::kRequired
+                ? "required"
+                : DescribeDefault(defaults.*member, row.info.unit);
       },
       row.target);
   return field;
--- a/src/config/field_type.cc
+++ b/src/config/field_type.cc
@@ -373,9 +373,9 @@
   return value;
 }
 
-std::string FormatValue(Duration value) {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+std::string FormatValue(Duration value, std::string_view unit) {
+  return std::to_string(value.count() /
+                        static_cast<std::int64_t>(MicrosecondsPerUnit(unit)));
 }
 
 std::string FormatValue(NodeId value) {
--- a/src/config/field_type.h
+++ b/src/config/field_type.h
@@ -102,7 +102,8 @@
 std::string FormatValue(std::uint32_t value);
 std::string FormatValue(bool value);
 std::string FormatValue(const std::string& value);
-std::string FormatValue(Duration value);
+// `unit`: "s" or "ms", in which the setting is written.
+std::string FormatValue(Duration value, std::string_view unit);
 std::string FormatValue(NodeId value);
 std::string FormatValue(Role value);
 std::string FormatValue(ServerState value);
--- a/tests/cli/test_cli.cc
+++ b/tests/cli/test_cli.cc
@@ -71,6 +71,7 @@
   CPPUNIT_TEST_SUITE(CliTest);
   CPPUNIT_TEST(HelpListsEveryCommand);
   CPPUNIT_TEST(InvalidCommandLineHasAnErrorCode);
+  CPPUNIT_TEST(DefaultsAreShownInTheUnitOfTheKey);
   CPPUNIT_TEST(CheckAcceptsEachKind);
   CPPUNIT_TEST(CheckListsErrorsOfAllFiles);
   CPPUNIT_TEST(CheckFindsDuplicatesAcrossFiles);
@@ -116,6 +117,17 @@
     CPPUNIT_ASSERT(Contains(RunWith({"dump", "localhost:1"}).err, "E107"));
   }
 
+  void DefaultsAreShownInTheUnitOfTheKey() {
+    const CliRun run = RunWith({"check", "--fields-markdown"});
+    CPPUNIT_ASSERT_EQUAL(0, run.exit_code);
+    CPPUNIT_ASSERT(Contains(run.out,
+                            "| `flow_max_age_s` | number | 1 to 86400 "
+                            "s | 60 |"));
+    CPPUNIT_ASSERT(Contains(run.out,
+                            "| `stop_bound_ms` | number | 100 to "
+                            "600000 ms | 20000 |"));
+  }
+
   void CheckAcceptsEachKind() {
     const TemporaryFile contract("cli_contract.yaml", kContract);
     const TemporaryFile agent("cli_agent.yaml", kAgent);
