--- a/model/restore.pml
+++ b/model/restore.pml
@@ -18,7 +18,7 @@
 #define BALANCERS 2
 #endif
 #ifndef REPORTS
-#define REPORTS 5
+#define REPORTS 4
 #endif
 #ifndef RESTORES
 #define RESTORES 2
