--- a/tests/shell/test_poll_set.cc
+++ b/tests/shell/test_poll_set.cc
@@ -39,9 +39,9 @@
     const Pipe second;
     second.Write();
     PollSet poll_set;
-    poll_set.Wait({{first.reader.Get(), POLLIN, 0},
-                   {second.reader.Get(), POLLIN, 0}},
-                  1000);
+    poll_set.Wait(
+        {{first.reader.Get(), POLLIN, 0}, {second.reader.Get(), POLLIN, 0}},
+        1000);
     CPPUNIT_ASSERT(!poll_set.IsReady(first.reader.Get()));
     CPPUNIT_ASSERT(poll_set.IsReady(second.reader.Get()));
     // It was not waited for.
