--- a/src/core/flow/gossip_peers.cc
+++ b/src/core/flow/gossip_peers.cc
@@ -8,9 +8,9 @@
 // Limits the size of the peer table and so the cost of a gossip round in a
 // large fleet.
 constexpr std::size_t kMaxPeers = 64;
-// A peer is considered dead after it has missed three digests. One round of a
-// peer's digests, which go to kDigestFanout peers every 0.4 s, reaches
-// kDigestFanout peers.
+// A peer sends a digest to kDigestFanout others every 0.4 s, in turn, and
+// counts as dead after three that were due have not arrived. This is the time
+// for each kDigestFanout peers that it has.
 constexpr Duration kAliveTimeoutPerRound{1300000};
 constexpr Duration kMinPeerRetention{10000000};
 
--- a/src/core/flow/server_table.cc
+++ b/src/core/flow/server_table.cc
@@ -39,8 +39,8 @@
   return a.started_ms != 0 && b.started_ms != 0 && a.started_ms > b.started_ms;
 }
 
-// What was known of a server at some time: its last report, and whether its
-// entry had been removed since.
+// What an entry says of a server: its last report, and whether it has been
+// removed since.
 struct Knowledge {
   const FlowServer& server;
   bool removed;
--- a/src/core/flow/store_view.cc
+++ b/src/core/flow/store_view.cc
@@ -148,6 +148,7 @@
                       std::vector<FlowEvent>& events) {
   StoreAnswer answer = received;
   if (!this->CheckEra(answer, events)) {
+    // Counts as a failed call, so that the next one follows after a backoff.
     StoreAnswer discarded;
     discarded.subject = answer.subject;
     discarded.kind = answer.kind;
