--- a/tests/flow/test_flow_fleet.cc
+++ b/tests/flow/test_flow_fleet.cc
@@ -82,8 +82,9 @@
     CPPUNIT_ASSERT(simulation.AllReady());
     // Each balancer lists both subjects once and may begin to watch them before
     // it knows the readers.
-    CPPUNIT_ASSERT_MESSAGE(std::to_string(simulation.StoreCalls()) + " calls",
-                           simulation.StoreCalls() <= 4 * kLargeFleet);
+    CPPUNIT_ASSERT_MESSAGE(
+        std::to_string(simulation.StoreCalls()) + " calls",
+        simulation.StoreCalls() <= std::uint64_t{4} * kLargeFleet);
   }
 
   // While the store does not answer, all balancers share the attempts.
@@ -207,8 +208,8 @@
     }
     // 2 s at 200 notices, and the replies to two rounds of queries.
     CPPUNIT_ASSERT_MESSAGE(std::to_string(notices) + " notices",
-                           notices <= 2 * 200 + 2 * kLargeFleet);
-    CPPUNIT_ASSERT(notices > 2 * kLargeFleet);
+                           notices <= std::size_t{2} * (200 + kLargeFleet));
+    CPPUNIT_ASSERT(notices > std::size_t{2} * kLargeFleet);
   }
 
   void FullPeerTableTakesNewPeers() {
--- a/tests/flow/test_store_eras.cc
+++ b/tests/flow/test_store_eras.cc
@@ -69,7 +69,7 @@
       for (auto call = this->calls.rbegin(); call != this->calls.rend();
            ++call) {
         if (call->subject == subject) {
-          const StoreCall found = *call;
+          StoreCall found = *call;
           this->calls.clear();
           return found;
         }
