--- a/tests/support/flow_simulation_impl.h
+++ b/tests/support/flow_simulation_impl.h
@@ -142,6 +142,11 @@
                     const std::vector<FlowEvent>& reported);
 
   void CallStore(std::size_t balancer, const StoreCall& call);
+  using StoreReply = std::function<void(StoreAnswer)>;
+  // Replies to a call, or waits for a change if it is a watch.
+  void AnswerOrWait(const StoreCall& call,
+                    TimePoint call_started_at,
+                    const StoreReply& reply);
   StoreAnswer MakeStoreAnswer(const StoreCall& call) const;
   void PutEntry(std::size_t index, bool removed);
   void PutRoutes();
--- a/tests/support/flow_simulation_store.cc
+++ b/tests/support/flow_simulation_store.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <memory>
 #include <utility>
 
 #include "tests/support/flow_simulation_impl.h"
@@ -89,7 +88,7 @@
   const std::uint64_t start_count = this->balancers[balancer].start_count;
   const TimePoint call_started_at = this->simulation.link.Now();
   const bool answered = !this->store_down;
-  const auto reply = [this, balancer, start_count](StoreAnswer answer) {
+  const StoreReply reply = [this, balancer, start_count](StoreAnswer answer) {
     if (this->balancers[balancer].start_count == start_count) {
       FlowBalancerInbox inbox;
       inbox.store_answers.push_back(std::move(answer));
@@ -108,28 +107,34 @@
     });
     return;
   }
-  const auto poll = std::make_shared<std::function<void()>>();
-  *poll = [this, call, reply, call_started_at, poll] {
-    StoreAnswer answer = this->MakeStoreAnswer(call);
-    const bool keeps_waiting =
-        call.kind == StoreCallKind::kWatch &&
-        answer.status == StoreStatus::kOk && answer.servers.empty() &&
-        answer.routes.empty() &&
-        this->simulation.link.Now() - call_started_at < call.wait;
-    if (keeps_waiting && !this->store_down) {
-      this->simulation.link.Schedule(kTickInterval, *poll);
-      return;
-    }
-    if (this->store_down) {
-      answer = StoreAnswer();
-      answer.subject = call.subject;
-      answer.kind = call.kind;
-    }
-    answer.generation = call.generation;
-    reply(std::move(answer));
-    *poll = nullptr;
-  };
-  this->simulation.link.Schedule(kStoreDelay, *poll);
+  this->simulation.link.Schedule(
+      kStoreDelay, [this, call, call_started_at, reply] {
+        this->AnswerOrWait(call, call_started_at, reply);
+      });
+}
+
+void FlowSimulation::Impl::AnswerOrWait(const StoreCall& call,
+                                        TimePoint call_started_at,
+                                        const StoreReply& reply) {
+  StoreAnswer answer = this->MakeStoreAnswer(call);
+  const bool keeps_waiting =
+      call.kind == StoreCallKind::kWatch && answer.status == StoreStatus::kOk &&
+      answer.servers.empty() && answer.routes.empty() &&
+      this->simulation.link.Now() - call_started_at < call.wait;
+  if (keeps_waiting && !this->store_down) {
+    this->simulation.link.Schedule(
+        kTickInterval, [this, call, call_started_at, reply] {
+          this->AnswerOrWait(call, call_started_at, reply);
+        });
+    return;
+  }
+  if (this->store_down) {
+    answer = StoreAnswer();
+    answer.subject = call.subject;
+    answer.kind = call.kind;
+  }
+  answer.generation = call.generation;
+  reply(std::move(answer));
 }
 
 StoreAnswer FlowSimulation::Impl::MakeStoreAnswer(const StoreCall& call) const {
