Scenario: revisions that the store assigns again are noticed

With real processes: a server drains, after the store has come back from a copy, at a revision below that of its last entry. Fails on (the draining server gets new flows), passes now. store_is_restored alone does not tell the two apart, except by its log line.

--- a/tests/flow_processes/run.py
+++ b/tests/flow_processes/run.py
@@ -301,6 +301,26 @@
            "change after the restart of the store was not noticed")
 
 
+def reused_revisions_are_noticed(site):
+    """After the store has come back from a copy, a server drains at a revision
+    below that of its last entry. It gets no new flows."""
+    copy = site.store.copy()
+    for _ in range(5):
+        site.publish_server(0, "desk", "ready")
+    time.sleep(1.0)
+    site.store.down = True
+    time.sleep(0.4)
+    site.store.restore(copy)
+    site.store.down = False
+    time.sleep(1.0)
+    site.publish_server(0, "desk", "draining")
+    time.sleep(1.0)
+    before = site.servers[0].openings
+    for _ in range(8):
+        expect(site.client.open(SERVICE_ADDRESS) is not None, "not served")
+    expect(site.servers[0].openings == before, "draining server got a new flow")
+
+
 def settings_change(site):
     """Settings are reloaded after SIGHUP. An invalid file, which is detected
     without a signal, is rejected and changes nothing."""
@@ -336,7 +356,7 @@
 
 SCENARIOS = [flows_are_whole, balancer_is_replaced, agent_is_killed, server_dies,
              restart_without_store, routes_and_drain, store_is_restored,
-             settings_change, crash_is_logged]
+             reused_revisions_are_noticed, settings_change, crash_is_logged]
 
 
 def main():
