--- a/src/core/flow/opening_table.cc
+++ b/src/core/flow/admission/opening_table.cc
@@ -1,4 +1,4 @@
-#include "src/core/flow/opening_table.h"
+#include "src/core/flow/admission/opening_table.h"
 
 #include <algorithm>
 
--- a/src/core/flow/opening_table.h
+++ b/src/core/flow/admission/opening_table.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSCROSS_SRC_CORE_FLOW_OPENING_TABLE_H_
-#define CACTUSCROSS_SRC_CORE_FLOW_OPENING_TABLE_H_
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_ADMISSION_OPENING_TABLE_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_ADMISSION_OPENING_TABLE_H_
 
 // Flows that are being opened: their opening packet (SYN) was sent to a server,
 // but no server has accepted the flow yet. The table keeps the packet so that
@@ -11,7 +11,7 @@
 
 #include "cactuscross/flow_types.h"
 #include "cactuscross/flow_view.h"
-#include "src/core/flow/flow_table.h"
+#include "src/core/flow/common/flow_table.h"
 
 namespace cactuscross {
 
@@ -65,4 +65,4 @@
 
 }  // namespace cactuscross
 
-#endif  // CACTUSCROSS_SRC_CORE_FLOW_OPENING_TABLE_H_
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_ADMISSION_OPENING_TABLE_H_
--- a/src/core/flow/flow_agent.cc
+++ b/src/core/flow/agent/flow_agent.cc
@@ -6,8 +6,8 @@
 #include <utility>
 
 #include "src/core/common/metric_set.h"
-#include "src/core/flow/server_flows.h"
-#include "src/core/flow/server_health_check.h"
+#include "src/core/flow/agent/server_flows.h"
+#include "src/core/flow/agent/server_health_check.h"
 
 namespace cactuscross {
 namespace {
--- a/src/core/flow/server_flows.cc
+++ b/src/core/flow/agent/server_flows.cc
@@ -1,4 +1,4 @@
-#include "src/core/flow/server_flows.h"
+#include "src/core/flow/agent/server_flows.h"
 
 namespace cactuscross {
 namespace {
--- a/src/core/flow/server_flows.h
+++ b/src/core/flow/agent/server_flows.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSCROSS_SRC_CORE_FLOW_SERVER_FLOWS_H_
-#define CACTUSCROSS_SRC_CORE_FLOW_SERVER_FLOWS_H_
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_AGENT_SERVER_FLOWS_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_AGENT_SERVER_FLOWS_H_
 
 // Flows of an agent's server, tracked from the packets that the agent forwards.
 
@@ -78,4 +78,4 @@
 
 }  // namespace cactuscross
 
-#endif  // CACTUSCROSS_SRC_CORE_FLOW_SERVER_FLOWS_H_
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_AGENT_SERVER_FLOWS_H_
--- a/src/core/flow/server_health_check.cc
+++ b/src/core/flow/agent/server_health_check.cc
@@ -1,4 +1,4 @@
-#include "src/core/flow/server_health_check.h"
+#include "src/core/flow/agent/server_health_check.h"
 
 #include <utility>
 
--- a/src/core/flow/server_health_check.h
+++ b/src/core/flow/agent/server_health_check.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSCROSS_SRC_CORE_FLOW_SERVER_HEALTH_CHECK_H_
-#define CACTUSCROSS_SRC_CORE_FLOW_SERVER_HEALTH_CHECK_H_
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_AGENT_SERVER_HEALTH_CHECK_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_AGENT_SERVER_HEALTH_CHECK_H_
 
 // Health check of an agent's server. Forwarded packets serve as passive checks;
 // if the server leaves some unanswered, it is probed with a connection attempt.
@@ -40,4 +40,4 @@
 
 }  // namespace cactuscross
 
-#endif  // CACTUSCROSS_SRC_CORE_FLOW_SERVER_HEALTH_CHECK_H_
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_AGENT_SERVER_HEALTH_CHECK_H_
--- a/src/core/flow/flow_balancer.cc
+++ b/src/core/flow/balancer/flow_balancer.cc
@@ -5,15 +5,15 @@
 #include <utility>
 
 #include "src/core/common/metric_set.h"
-#include "src/core/flow/early_packets.h"
-#include "src/core/flow/flow_cache.h"
-#include "src/core/flow/flow_searcher.h"
-#include "src/core/flow/flow_sender.h"
-#include "src/core/flow/opening_table.h"
-#include "src/core/flow/placement.h"
-#include "src/core/flow/response_timeout.h"
-#include "src/core/flow/store_view.h"
-#include "src/core/flow/view_gossip.h"
+#include "src/core/flow/admission/opening_table.h"
+#include "src/core/flow/common/response_timeout.h"
+#include "src/core/flow/forwarding/early_packets.h"
+#include "src/core/flow/forwarding/flow_cache.h"
+#include "src/core/flow/forwarding/flow_sender.h"
+#include "src/core/flow/placement/placement.h"
+#include "src/core/flow/search/flow_searcher.h"
+#include "src/core/flow/view/store_view.h"
+#include "src/core/flow/view/view_gossip.h"
 
 namespace cactuscross {
 namespace {
--- a/src/core/flow/flow_hash.cc
+++ b/src/core/flow/common/flow_hash.cc
@@ -1,4 +1,4 @@
-#include "src/core/flow/flow_hash.h"
+#include "src/core/flow/common/flow_hash.h"
 
 #include <xxhash.h>
 
--- a/src/core/flow/flow_hash.h
+++ b/src/core/flow/common/flow_hash.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSCROSS_SRC_CORE_FLOW_FLOW_HASH_H_
-#define CACTUSCROSS_SRC_CORE_FLOW_FLOW_HASH_H_
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_COMMON_FLOW_HASH_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_COMMON_FLOW_HASH_H_
 
 // Rendezvous (highest random weight) hashing of flows. All balancers that know
 // the same servers compute the same order of servers for a flow, and adding or
@@ -21,4 +21,4 @@
 
 }  // namespace cactuscross
 
-#endif  // CACTUSCROSS_SRC_CORE_FLOW_FLOW_HASH_H_
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_COMMON_FLOW_HASH_H_
--- a/src/core/flow/flow_table.h
+++ b/src/core/flow/common/flow_table.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSCROSS_SRC_CORE_FLOW_FLOW_TABLE_H_
-#define CACTUSCROSS_SRC_CORE_FLOW_FLOW_TABLE_H_
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_COMMON_FLOW_TABLE_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_COMMON_FLOW_TABLE_H_
 
 // Flows about which a balancer queries servers, at most `kMaxEntries` at once.
 // `Entry` has the members `flow`, `sent_at` (time of the last queries) and
@@ -53,4 +53,4 @@
 
 }  // namespace cactuscross
 
-#endif  // CACTUSCROSS_SRC_CORE_FLOW_FLOW_TABLE_H_
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_COMMON_FLOW_TABLE_H_
--- a/src/core/flow/response_timeout.cc
+++ b/src/core/flow/common/response_timeout.cc
@@ -1,4 +1,4 @@
-#include "src/core/flow/response_timeout.h"
+#include "src/core/flow/common/response_timeout.h"
 
 #include <algorithm>
 
--- a/src/core/flow/response_timeout.h
+++ b/src/core/flow/common/response_timeout.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSCROSS_SRC_CORE_FLOW_RESPONSE_TIMEOUT_H_
-#define CACTUSCROSS_SRC_CORE_FLOW_RESPONSE_TIMEOUT_H_
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_COMMON_RESPONSE_TIMEOUT_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_COMMON_RESPONSE_TIMEOUT_H_
 
 // Adaptive timeout after which a balancer that has not received an agent's
 // answer tries the next server. The timeout doubles while most queries go
@@ -39,4 +39,4 @@
 
 }  // namespace cactuscross
 
-#endif  // CACTUSCROSS_SRC_CORE_FLOW_RESPONSE_TIMEOUT_H_
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_COMMON_RESPONSE_TIMEOUT_H_
--- a/src/core/flow/early_packets.cc
+++ b/src/core/flow/forwarding/early_packets.cc
@@ -1,4 +1,4 @@
-#include "src/core/flow/early_packets.h"
+#include "src/core/flow/forwarding/early_packets.h"
 
 #include <utility>
 
--- a/src/core/flow/early_packets.h
+++ b/src/core/flow/forwarding/early_packets.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSCROSS_SRC_CORE_FLOW_EARLY_PACKETS_H_
-#define CACTUSCROSS_SRC_CORE_FLOW_EARLY_PACKETS_H_
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_FORWARDING_EARLY_PACKETS_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_FORWARDING_EARLY_PACKETS_H_
 
 // Buffers packets that arrive before a balancer has loaded its first view of
 // routes and servers. They are handled as soon as the view is loaded, which is
@@ -33,4 +33,4 @@
 
 }  // namespace cactuscross
 
-#endif  // CACTUSCROSS_SRC_CORE_FLOW_EARLY_PACKETS_H_
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_FORWARDING_EARLY_PACKETS_H_
--- a/src/core/flow/flow_cache.cc
+++ b/src/core/flow/forwarding/flow_cache.cc
@@ -1,4 +1,4 @@
-#include "src/core/flow/flow_cache.h"
+#include "src/core/flow/forwarding/flow_cache.h"
 
 namespace cactuscross {
 namespace {
--- a/src/core/flow/flow_cache.h
+++ b/src/core/flow/forwarding/flow_cache.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSCROSS_SRC_CORE_FLOW_FLOW_CACHE_H_
-#define CACTUSCROSS_SRC_CORE_FLOW_FLOW_CACHE_H_
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_FORWARDING_FLOW_CACHE_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_FORWARDING_FLOW_CACHE_H_
 
 // LRU cache that maps flows to the servers that hold them. Has a maximum size;
 // eviction prefers flows whose client has closed its side. A lookup that misses
@@ -47,4 +47,4 @@
 
 }  // namespace cactuscross
 
-#endif  // CACTUSCROSS_SRC_CORE_FLOW_FLOW_CACHE_H_
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_FORWARDING_FLOW_CACHE_H_
--- a/src/core/flow/flow_sender.cc
+++ b/src/core/flow/forwarding/flow_sender.cc
@@ -1,4 +1,4 @@
-#include "src/core/flow/flow_sender.h"
+#include "src/core/flow/forwarding/flow_sender.h"
 
 #include <iterator>
 #include <utility>
--- a/src/core/flow/flow_sender.h
+++ b/src/core/flow/forwarding/flow_sender.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSCROSS_SRC_CORE_FLOW_FLOW_SENDER_H_
-#define CACTUSCROSS_SRC_CORE_FLOW_FLOW_SENDER_H_
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_FORWARDING_FLOW_SENDER_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_FORWARDING_FLOW_SENDER_H_
 
 // Collects what a balancer sends and reports during a tick.
 
@@ -9,7 +9,7 @@
 
 #include "cactuscross/flow_balancer.h"
 #include "cactuscross/flow_event.h"
-#include "src/core/flow/server_table.h"
+#include "src/core/flow/view/server_table.h"
 
 namespace cactuscross {
 
@@ -41,4 +41,4 @@
 
 }  // namespace cactuscross
 
-#endif  // CACTUSCROSS_SRC_CORE_FLOW_FLOW_SENDER_H_
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_FORWARDING_FLOW_SENDER_H_
--- a/src/core/flow/placement.cc
+++ b/src/core/flow/placement/placement.cc
@@ -1,9 +1,9 @@
-#include "src/core/flow/placement.h"
+#include "src/core/flow/placement/placement.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "src/core/flow/flow_hash.h"
+#include "src/core/flow/common/flow_hash.h"
 
 namespace cactuscross {
 namespace {
--- a/src/core/flow/placement.h
+++ b/src/core/flow/placement/placement.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSCROSS_SRC_CORE_FLOW_PLACEMENT_H_
-#define CACTUSCROSS_SRC_CORE_FLOW_PLACEMENT_H_
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_PLACEMENT_PLACEMENT_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_PLACEMENT_PLACEMENT_H_
 
 // Selects a server for a new flow: the least loaded of the first few candidates
 // in the flow's rendezvous order (power of d choices).
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-#include "src/core/flow/server_table.h"
+#include "src/core/flow/view/server_table.h"
 
 namespace cactuscross {
 
@@ -51,4 +51,4 @@
 
 }  // namespace cactuscross
 
-#endif  // CACTUSCROSS_SRC_CORE_FLOW_PLACEMENT_H_
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_PLACEMENT_PLACEMENT_H_
--- a/src/core/flow/flow_searcher.cc
+++ b/src/core/flow/search/flow_searcher.cc
@@ -1,11 +1,11 @@
-#include "src/core/flow/flow_searcher.h"
+#include "src/core/flow/search/flow_searcher.h"
 
 #include <algorithm>
 #include <iterator>
 #include <string>
 #include <utility>
 
-#include "src/core/flow/placement.h"
+#include "src/core/flow/placement/placement.h"
 
 namespace cactuscross {
 namespace {
--- a/src/core/flow/flow_searcher.h
+++ b/src/core/flow/search/flow_searcher.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSCROSS_SRC_CORE_FLOW_FLOW_SEARCHER_H_
-#define CACTUSCROSS_SRC_CORE_FLOW_FLOW_SEARCHER_H_
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_SEARCH_FLOW_SEARCHER_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_SEARCH_FLOW_SEARCHER_H_
 
 // Finds the servers that hold flows unknown to this balancer by querying the
 // agents, and resets flows that no server holds.
@@ -10,11 +10,11 @@
 #include <vector>
 
 #include "src/core/common/metric_set.h"
-#include "src/core/flow/flow_sender.h"
-#include "src/core/flow/search_congestion_window.h"
-#include "src/core/flow/search_table.h"
-#include "src/core/flow/store_view.h"
-#include "src/core/flow/view_gossip.h"
+#include "src/core/flow/forwarding/flow_sender.h"
+#include "src/core/flow/search/search_congestion_window.h"
+#include "src/core/flow/search/search_table.h"
+#include "src/core/flow/view/store_view.h"
+#include "src/core/flow/view/view_gossip.h"
 
 namespace cactuscross {
 
@@ -94,4 +94,4 @@
 
 }  // namespace cactuscross
 
-#endif  // CACTUSCROSS_SRC_CORE_FLOW_FLOW_SEARCHER_H_
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_SEARCH_FLOW_SEARCHER_H_
--- a/src/core/flow/search_congestion_window.cc
+++ b/src/core/flow/search/search_congestion_window.cc
@@ -1,4 +1,4 @@
-#include "src/core/flow/search_congestion_window.h"
+#include "src/core/flow/search/search_congestion_window.h"
 
 #include <algorithm>
 
--- a/src/core/flow/search_congestion_window.h
+++ b/src/core/flow/search/search_congestion_window.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSCROSS_SRC_CORE_FLOW_SEARCH_CONGESTION_WINDOW_H_
-#define CACTUSCROSS_SRC_CORE_FLOW_SEARCH_CONGESTION_WINDOW_H_
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_SEARCH_SEARCH_CONGESTION_WINDOW_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_SEARCH_SEARCH_CONGESTION_WINDOW_H_
 
 // Congestion window for the queries of searches, in bytes in flight, as in TCP
 // (RFC 5681): it grows while agents answer and is halved when most queried
@@ -55,4 +55,4 @@
 
 }  // namespace cactuscross
 
-#endif  // CACTUSCROSS_SRC_CORE_FLOW_SEARCH_CONGESTION_WINDOW_H_
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_SEARCH_SEARCH_CONGESTION_WINDOW_H_
--- a/src/core/flow/search_table.cc
+++ b/src/core/flow/search/search_table.cc
@@ -1,4 +1,4 @@
-#include "src/core/flow/search_table.h"
+#include "src/core/flow/search/search_table.h"
 
 #include <algorithm>
 
--- a/src/core/flow/search_table.h
+++ b/src/core/flow/search/search_table.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSCROSS_SRC_CORE_FLOW_SEARCH_TABLE_H_
-#define CACTUSCROSS_SRC_CORE_FLOW_SEARCH_TABLE_H_
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_SEARCH_SEARCH_TABLE_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_SEARCH_SEARCH_TABLE_H_
 
 // Searches for the server that holds a flow. The flow's packet is sent to the
 // candidate servers in the flow's rendezvous order, in batches, and the agents
@@ -10,7 +10,7 @@
 
 #include "cactuscross/flow_types.h"
 #include "cactuscross/flow_view.h"
-#include "src/core/flow/flow_table.h"
+#include "src/core/flow/common/flow_table.h"
 
 namespace cactuscross {
 
@@ -60,4 +60,4 @@
 
 }  // namespace cactuscross
 
-#endif  // CACTUSCROSS_SRC_CORE_FLOW_SEARCH_TABLE_H_
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_SEARCH_SEARCH_TABLE_H_
--- a/src/core/flow/gossip_peers.cc
+++ b/src/core/flow/view/gossip_peers.cc
@@ -1,4 +1,4 @@
-#include "src/core/flow/gossip_peers.h"
+#include "src/core/flow/view/gossip_peers.h"
 
 #include <algorithm>
 
--- a/src/core/flow/gossip_peers.h
+++ b/src/core/flow/view/gossip_peers.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSCROSS_SRC_CORE_FLOW_GOSSIP_PEERS_H_
-#define CACTUSCROSS_SRC_CORE_FLOW_GOSSIP_PEERS_H_
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_VIEW_GOSSIP_PEERS_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_VIEW_GOSSIP_PEERS_H_
 
 // Membership of the gossip between balancers: the seeds from the settings, and
 // the peers that sent a digest or were named in one.
@@ -60,4 +60,4 @@
 
 }  // namespace cactuscross
 
-#endif  // CACTUSCROSS_SRC_CORE_FLOW_GOSSIP_PEERS_H_
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_VIEW_GOSSIP_PEERS_H_
--- a/src/core/flow/route_set.cc
+++ b/src/core/flow/view/route_set.cc
@@ -1,6 +1,6 @@
-#include "src/core/flow/route_set.h"
+#include "src/core/flow/view/route_set.h"
 
-#include "src/core/flow/flow_hash.h"
+#include "src/core/flow/common/flow_hash.h"
 
 namespace cactuscross {
 
--- a/src/core/flow/route_set.h
+++ b/src/core/flow/view/route_set.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSCROSS_SRC_CORE_FLOW_ROUTE_SET_H_
-#define CACTUSCROSS_SRC_CORE_FLOW_ROUTE_SET_H_
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_VIEW_ROUTE_SET_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_VIEW_ROUTE_SET_H_
 
 // The routes in force, which map service addresses to services.
 
@@ -39,4 +39,4 @@
 
 }  // namespace cactuscross
 
-#endif  // CACTUSCROSS_SRC_CORE_FLOW_ROUTE_SET_H_
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_VIEW_ROUTE_SET_H_
--- a/src/core/flow/server_table.cc
+++ b/src/core/flow/view/server_table.cc
@@ -1,4 +1,4 @@
-#include "src/core/flow/server_table.h"
+#include "src/core/flow/view/server_table.h"
 
 #include <xxhash.h>
 
--- a/src/core/flow/server_table.h
+++ b/src/core/flow/view/server_table.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSCROSS_SRC_CORE_FLOW_SERVER_TABLE_H_
-#define CACTUSCROSS_SRC_CORE_FLOW_SERVER_TABLE_H_
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_VIEW_SERVER_TABLE_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_VIEW_SERVER_TABLE_H_
 
 // Servers that the store lists or has listed recently, the load that their
 // agents report, and which of them accept new flows.
@@ -126,4 +126,4 @@
 
 }  // namespace cactuscross
 
-#endif  // CACTUSCROSS_SRC_CORE_FLOW_SERVER_TABLE_H_
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_VIEW_SERVER_TABLE_H_
--- a/src/core/flow/store_reader.cc
+++ b/src/core/flow/view/store_reader.cc
@@ -1,4 +1,4 @@
-#include "src/core/flow/store_reader.h"
+#include "src/core/flow/view/store_reader.h"
 
 #include <algorithm>
 
--- a/src/core/flow/store_reader.h
+++ b/src/core/flow/view/store_reader.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSCROSS_SRC_CORE_FLOW_STORE_READER_H_
-#define CACTUSCROSS_SRC_CORE_FLOW_STORE_READER_H_
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_VIEW_STORE_READER_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_VIEW_STORE_READER_H_
 
 // Reads one subject (routes or servers) from the store: first a list, then
 // watches from the list's revision on. Lists again when the store has compacted
@@ -78,4 +78,4 @@
 
 }  // namespace cactuscross
 
-#endif  // CACTUSCROSS_SRC_CORE_FLOW_STORE_READER_H_
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_VIEW_STORE_READER_H_
--- a/src/core/flow/store_reader_election.cc
+++ b/src/core/flow/view/store_reader_election.cc
@@ -1,4 +1,4 @@
-#include "src/core/flow/store_reader_election.h"
+#include "src/core/flow/view/store_reader_election.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/core/flow/store_reader_election.h
+++ b/src/core/flow/view/store_reader_election.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSCROSS_SRC_CORE_FLOW_STORE_READER_ELECTION_H_
-#define CACTUSCROSS_SRC_CORE_FLOW_STORE_READER_ELECTION_H_
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_VIEW_STORE_READER_ELECTION_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_VIEW_STORE_READER_ELECTION_H_
 
 // Decides which balancers read the store. A process knows the active readers
 // from the digests of its peers, which pass them on, so that the number of
@@ -58,4 +58,4 @@
 
 }  // namespace cactuscross
 
-#endif  // CACTUSCROSS_SRC_CORE_FLOW_STORE_READER_ELECTION_H_
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_VIEW_STORE_READER_ELECTION_H_
--- a/src/core/flow/store_view.cc
+++ b/src/core/flow/view/store_view.cc
@@ -1,4 +1,4 @@
-#include "src/core/flow/store_view.h"
+#include "src/core/flow/view/store_view.h"
 
 #include <algorithm>
 #include <string>
--- a/src/core/flow/store_view.h
+++ b/src/core/flow/view/store_view.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSCROSS_SRC_CORE_FLOW_STORE_VIEW_H_
-#define CACTUSCROSS_SRC_CORE_FLOW_STORE_VIEW_H_
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_VIEW_STORE_VIEW_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_VIEW_STORE_VIEW_H_
 
 // A balancer's view of routes and servers, kept up to date from the store or
 // from peers.
@@ -8,9 +8,9 @@
 
 #include "cactuscross/flow_balancer.h"
 #include "cactuscross/flow_gossip.h"
-#include "src/core/flow/route_set.h"
-#include "src/core/flow/server_table.h"
-#include "src/core/flow/store_reader.h"
+#include "src/core/flow/view/route_set.h"
+#include "src/core/flow/view/server_table.h"
+#include "src/core/flow/view/store_reader.h"
 
 namespace cactuscross {
 
@@ -85,4 +85,4 @@
 
 }  // namespace cactuscross
 
-#endif  // CACTUSCROSS_SRC_CORE_FLOW_STORE_VIEW_H_
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_VIEW_STORE_VIEW_H_
--- a/src/core/flow/view_gossip.cc
+++ b/src/core/flow/view/view_gossip.cc
@@ -1,4 +1,4 @@
-#include "src/core/flow/view_gossip.h"
+#include "src/core/flow/view/view_gossip.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/flow/view_gossip.h
+++ b/src/core/flow/view/view_gossip.h
@@ -1,5 +1,5 @@
-#ifndef CACTUSCROSS_SRC_CORE_FLOW_VIEW_GOSSIP_H_
-#define CACTUSCROSS_SRC_CORE_FLOW_VIEW_GOSSIP_H_
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_VIEW_VIEW_GOSSIP_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_VIEW_VIEW_GOSSIP_H_
 
 // Replicates the view between balancers by anti-entropy gossip. A few
 // designated readers read the store; all balancers exchange digests and pull
@@ -10,9 +10,9 @@
 
 #include "cactuscross/flow_balancer.h"
 #include "cactuscross/flow_gossip.h"
-#include "src/core/flow/gossip_peers.h"
-#include "src/core/flow/store_reader_election.h"
-#include "src/core/flow/store_view.h"
+#include "src/core/flow/view/gossip_peers.h"
+#include "src/core/flow/view/store_reader_election.h"
+#include "src/core/flow/view/store_view.h"
 
 namespace cactuscross {
 
@@ -101,4 +101,4 @@
 
 }  // namespace cactuscross
 
-#endif  // CACTUSCROSS_SRC_CORE_FLOW_VIEW_GOSSIP_H_
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_VIEW_VIEW_GOSSIP_H_
--- a/tests/flow/test_flow_congestion_control.cc
+++ b/tests/flow/test_flow_congestion_control.cc
@@ -3,10 +3,10 @@
 
 #include <cstddef>
 
-#include "src/core/flow/opening_table.h"
-#include "src/core/flow/response_timeout.h"
-#include "src/core/flow/search_congestion_window.h"
-#include "src/core/flow/search_table.h"
+#include "src/core/flow/admission/opening_table.h"
+#include "src/core/flow/common/response_timeout.h"
+#include "src/core/flow/search/search_congestion_window.h"
+#include "src/core/flow/search/search_table.h"
 
 namespace cactuscross::testing {
 namespace {
--- a/tests/flow/test_flow_fleet.cc
+++ b/tests/flow/test_flow_fleet.cc
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
-#include "src/core/flow/gossip_peers.h"
-#include "src/core/flow/store_reader_election.h"
+#include "src/core/flow/view/gossip_peers.h"
+#include "src/core/flow/view/store_reader_election.h"
 #include "tests/support/flow_simulation.h"
 
 namespace cactuscross::testing {
--- a/tests/flow/test_flow_parts.cc
+++ b/tests/flow/test_flow_parts.cc
@@ -6,10 +6,10 @@
 #include "cactuscross/flow_agent.h"
 #include "src/config/file_kind.h"
 #include "src/config/settings_parser.h"
-#include "src/core/flow/opening_table.h"
-#include "src/core/flow/placement.h"
-#include "src/core/flow/route_set.h"
-#include "src/core/flow/store_reader.h"
+#include "src/core/flow/admission/opening_table.h"
+#include "src/core/flow/placement/placement.h"
+#include "src/core/flow/view/route_set.h"
+#include "src/core/flow/view/store_reader.h"
 #include "src/wire/flow_codec.h"
 
 namespace cactuscross {
--- a/tests/flow/test_store_eras.cc
+++ b/tests/flow/test_store_eras.cc
@@ -4,8 +4,8 @@
 #include <string>
 #include <vector>
 
-#include "src/core/flow/store_view.h"
-#include "src/core/flow/view_gossip.h"
+#include "src/core/flow/view/store_view.h"
+#include "src/core/flow/view/view_gossip.h"
 #include "tests/support/flow_simulation.h"
 
 namespace cactuscross::testing {
--- a/tests/flow/test_view_gossip.cc
+++ b/tests/flow/test_view_gossip.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <vector>
 
-#include "src/core/flow/store_view.h"
-#include "src/core/flow/view_gossip.h"
+#include "src/core/flow/view/store_view.h"
+#include "src/core/flow/view/view_gossip.h"
 
 namespace cactuscross {
 namespace {
--- a/tests/run_fuzz.sh
+++ b/tests/run_fuzz.sh
@@ -13,7 +13,7 @@
 launcher=$(command -v ccache || true)
 objects=""
 for source in tests/fuzz/fuzz_decoders.cc src/wire/*.cc src/core/types.cc \
-  src/core/flow/flow_types.cc src/config/value_parser.cc \
+  src/core/flow/common/flow_types.cc src/config/value_parser.cc \
   platform/packet_codec.cc platform/entry_decoder.cc; do
   object=$folder/$(echo "$source" | tr / _).o
   case $source in *.pb.cc) warnings=-w ;; *) warnings= ;; esac
