Flow path: declarations and wire fields for the decisions under load

Several parts are built side by side on the same types. No decision uses them yet. Result: round trips through the codec are tested in FlowPartsTest.

--- a/include/cactuscross/flow_gossip.h
+++ b/include/cactuscross/flow_gossip.h
@@ -57,6 +57,8 @@
   GossipPart part;                    // kRoutes, kServers
   StorePosition after;  // kServers: changes after it; revision 0: all
   std::vector<FlowRoute> routes;
+  std::vector<WarmupLimit> warmup_limits;  // kRoutes: in every part
+  std::vector<ZoneOrder> zone_orders;      // kDigest: the newest of each zone
   std::vector<ServerChange> servers;
 };
 
--- a/include/cactuscross/flow_message.h
+++ b/include/cactuscross/flow_message.h
@@ -5,7 +5,9 @@
 // may be lost or duplicated. Correctness doesn't depend on them: a client's
 // retransmission starts the same exchange again.
 
+#include <cstddef>
 #include <cstdint>
+#include <vector>
 
 #include "cactuscross/flow_types.h"
 #include "cactuscross/flow_view.h"
@@ -23,13 +25,43 @@
   kQuery = 7,         // balancer: requests kLoad
   kSaturated = 8,     // agent: the opening packet was not forwarded because
                       // the server has reached max_running
+  kLookup = 9,        // balancer: requests kLookupReply
+  kLookupReply = 10,  // agent: which of the flows in kLookup the server holds
 };
 
+enum class LookupResult : std::uint8_t {
+  kUnknown = 0,  // only a packet of the flow can tell
+  kHeld = 1,
+  kNotHeld = 2,
+};
+
+struct FlowLookup {
+  FlowKey flow;
+  LookupResult result = LookupResult::kUnknown;  // unset in kLookup
+};
+
+// Number of flows in a kLookup that fits in one datagram.
+inline constexpr std::size_t kMaxLookups = 90;
+
 // Load of a server as reported by its agent.
 struct ServerLoad {
   std::uint32_t running = 0;     // requests in progress or queued
   std::uint32_t open_flows = 0;  // flows that are open on the server
   bool down = false;             // the server is down or the agent is stopping
+  // Requests per second that the server completes when all its slots are busy,
+  // as measured by its agent; 0: not measured yet.
+  double capacity = 0;
+  bool evacuated =
+      false;  // the agent refuses new flows by order of the operator
+};
+
+// What a balancer tells an agent about its server, as far as it knows.
+struct AgentOrders {
+  bool evacuated = false;                 // state of the server's zone
+  StorePosition evacuation_position;      // of the order; revision 0: no order
+  double warmup_openings_per_second = 0;  // 0: no limit
+  Duration warmup_remaining{0};
+  std::uint32_t slots = 0;  // 0: unknown
 };
 
 struct FlowNotice {
@@ -40,7 +72,9 @@
   // kQuery: number of requests in progress at which the server gets no new
   // flows.
   std::uint32_t max_running = 0;
-  ServerLoad load;  // unset in kQuery
+  AgentOrders orders;               // kQuery
+  std::vector<FlowLookup> lookups;  // kLookup, kLookupReply; up to kMaxLookups
+  ServerLoad load;                  // unset in kQuery and kLookup
   // kNotHeld, kWrongService: the rejected packet, so that the balancer can send
   // it elsewhere, and its acknowledgement number. Both are unset in kNotHeld in
   // reply to a search, whose packets the balancer has buffered.
--- a/include/cactuscross/flow_settings.h
+++ b/include/cactuscross/flow_settings.h
@@ -24,6 +24,16 @@
                                    // holds flows from before
   Duration flow_max_age{60000000};
   Duration max_stop_time{6000000};  // time from SIGTERM to SIGKILL
+  // Time within which an evacuated zone gets no more new flows; 0: the operator
+  // does not evacuate zones.
+  Duration evacuation_bound{0};
+  // A server that warms up may get, in any second, its rate multiplied by
+  // `warmup_overshoot`, plus `warmup_slack` openings. 0 and 0: no bound.
+  double warmup_overshoot = 0;
+  double warmup_slack = 0;
+  // Comma-separated names of feature groups of the deployment platform, which
+  // its adapter maps to other settings.
+  std::string platform_features;
 };
 
 struct FlowBalancerSettings {
@@ -32,6 +42,11 @@
   Endpoint control;             // UDP: gossip with balancers; port 0: disabled
   std::vector<Endpoint> seeds;  // control addresses of some balancers, to
                                 // join the gossip
+  bool batched_lookup = true;   // look up flows by key, many in a datagram
+  bool priority_admission = false;  // order waiting openings by priority and
+                                    // deadline instead of newest first
+  bool strict_weights = false;      // never use another service of a route
+                                    // because the chosen one has no capacity
 };
 
 struct FlowAgentSettings {
--- a/include/cactuscross/flow_view.h
+++ b/include/cactuscross/flow_view.h
@@ -74,20 +74,49 @@
   std::uint32_t weight = 1;
 };
 
+// A service that a route named in an earlier version. Its servers may still
+// hold open flows of the route.
+struct FormerService {
+  ServiceId service = kNoService;
+  Duration age{0};  // time since the route last named it
+};
+
 struct FlowRoute {
   Endpoint service_address;
   std::vector<ServiceShare> services;
   // Time that clients give a request, with all its attempts; 0: unknown.
   Duration time_limit{0};
+  Duration latency_target{0};  // 0: unknown
+  std::uint32_t priority = 0;  // 0 is the highest
+  bool idempotent = false;     // requests may run more than once
+  // Set by the view and by peers, never by the store.
+  std::vector<FormerService> former_services;
+};
+
+// Limit of the openings that a server of the service gets while it warms up.
+struct WarmupLimit {
+  ServiceId service = kNoService;
+  double openings_per_second = 0;
+  Duration warmup_time{0};  // after the start of a server
 };
 
 // One version of the complete set of routes.
 struct RouteSet {
   std::uint64_t version = 0;
   std::vector<FlowRoute> routes;
+  std::vector<WarmupLimit>
+      warmup_limits;         // services without a limit are absent
   Duration idle_timeout{0};  // idle flows may be dropped after it; 0: unset
 };
 
+// An order of the operator for an availability zone: while it is evacuated, its
+// servers get no new flows.
+struct ZoneOrder {
+  std::string zone;
+  bool evacuated = false;  // false: the order was withdrawn
+  StorePosition position;  // of the change; without era in a StoreAnswer
+};
+
 // A change of the list of servers.
 struct ServerChange {
   StorePosition position;  // of the change; without era in a StoreAnswer
@@ -137,6 +166,7 @@
   std::string last_key;        // kList: last key of this page
   std::vector<ServerChange> servers;
   std::vector<RouteSet> routes;
+  std::vector<ZoneOrder> zone_orders;
   // Names of entries that could not be decoded.
   std::vector<std::string> unreadable;
 };
--- a/src/cli/role_commands.cc
+++ b/src/cli/role_commands.cc
@@ -106,7 +106,9 @@
 
 int RunFlowBalancerWithAdapter(const FlowBalancerSettings& settings,
                                const std::string& settings_path) {
-  return RunFlowBalancer(settings, platform::MakeAdapter(), settings_path);
+  FlowBalancerSettings applied = settings;
+  platform::ApplyFeatures(applied);
+  return RunFlowBalancer(applied, platform::MakeAdapter(), settings_path);
 }
 
 int RunFlowAgentWithAdapter(const FlowAgentSettings& settings,
--- a/src/config/field_row.h
+++ b/src/config/field_row.h
@@ -57,6 +57,7 @@
 template <typename Entity>
 using FieldTarget = std::variant<std::uint32_t Entity::*,
                                  bool Entity::*,
+                                 double Entity::*,
                                  std::string Entity::*,
                                  Duration Entity::*,
                                  NodeId Entity::*,
--- a/src/config/field_table.cc
+++ b/src/config/field_table.cc
@@ -119,6 +119,27 @@
     FieldRow<FlowNodeSettings>{{"stop_bound_s", kOptional, Bounds{0, 600}, "s",
                                 "Maximum duration of a graceful shutdown."},
                                &FlowNodeSettings::max_stop_time},
+    FieldRow<FlowNodeSettings>{
+        {"evacuation_bound_ms", kOptional, Bounds{0, 600000}, "ms",
+         "Time within which servers of an evacuated availability zone get no "
+         "more new flows; 0: zones are not evacuated."},
+        &FlowNodeSettings::evacuation_bound},
+    FieldRow<FlowNodeSettings>{
+        {"warmup_overshoot", kOptional, Bounds{0, 100}, "",
+         "Factor by which the openings of a server that warms up may exceed "
+         "its rate in any second."},
+        &FlowNodeSettings::warmup_overshoot},
+    FieldRow<FlowNodeSettings>{
+        {"warmup_slack", kOptional, Bounds{0, 1000000}, "openings",
+         "Openings that a server that warms up may get in any second beyond "
+         "its rate."},
+        &FlowNodeSettings::warmup_slack},
+    FieldRow<FlowNodeSettings>{
+        {"platform_features", kOptional, Bounds{0, 1000}, "characters",
+         "Comma-separated feature groups of the deployment platform, which its "
+         "adapter maps to other settings.",
+         kMayRepeat, TextRule::kText},
+        &FlowNodeSettings::platform_features},
 };
 
 constexpr std::array kFlowBalancerRows = {
@@ -135,6 +156,21 @@
          "Control addresses of balancers to contact at startup; the others are "
          "learned from them."},
         &FlowBalancerSettings::seeds},
+    FieldRow<FlowBalancerSettings>{
+        {"batched_lookup", kOptional, kNoBounds, "",
+         "Look up the servers of flows by key, many flows in one datagram, "
+         "instead of sending a packet of each flow to each server."},
+        &FlowBalancerSettings::batched_lookup},
+    FieldRow<FlowBalancerSettings>{
+        {"priority_admission", kOptional, kNoBounds, "",
+         "Order openings that wait for a server by priority and deadline "
+         "instead of newest first."},
+        &FlowBalancerSettings::priority_admission},
+    FieldRow<FlowBalancerSettings>{
+        {"strict_weights", kOptional, kNoBounds, "",
+         "Never use another service of a route because the chosen one has no "
+         "capacity."},
+        &FlowBalancerSettings::strict_weights},
 };
 
 constexpr std::array kFlowAgentRows = {
--- a/src/config/field_type.cc
+++ b/src/config/field_type.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cmath>
 #include <optional>
 
@@ -73,6 +74,33 @@
   return number;
 }
 
+std::optional<double> ReadDecimal(FieldReport& report,
+                                  const FieldInfo& info,
+                                  const YAML::Node& node) {
+  const std::string unit =
+      info.unit.empty() ? "" : " of " + std::string(info.unit);
+  const std::string expected =
+      "a number" + unit + " from " + BoundsText(info.bounds);
+  const auto text = ReadScalar(report, info, node, expected);
+  if (!text) {
+    return std::nullopt;
+  }
+  const auto number = ParseDecimal(*text);
+  if (!number) {
+    report.Add(ResultCode::kWrongType, node,
+               Prefix(info) + QuoteText(*text) + " is not a number; write " +
+                   expected);
+    return std::nullopt;
+  }
+  if (*number < static_cast<double>(info.bounds.min) ||
+      *number > static_cast<double>(info.bounds.max)) {
+    report.Add(ResultCode::kOutOfBounds, node,
+               Prefix(info) + *text + " is out of bounds; write " + expected);
+    return std::nullopt;
+  }
+  return number;
+}
+
 template <typename Value>
 void ReadKeyword(FieldReport& report,
                  const FieldInfo& info,
@@ -208,23 +236,17 @@
 void ReadValue(FieldReport& report,
                const FieldInfo& info,
                const YAML::Node& node,
-               Duration& value) {
-  const std::string expected = "a number of " + std::string(info.unit) +
-                               " from " + BoundsText(info.bounds);
-  const auto text = ReadScalar(report, info, node, expected);
-  if (!text) {
-    return;
+               double& value) {
+  if (const auto number = ReadDecimal(report, info, node)) {
+    value = *number;
   }
-  const auto number = ParseDecimal(*text);
-  if (!number) {
-    report.Add(ResultCode::kWrongType, node,
-               Prefix(info) + QuoteText(*text) + " is not a number; write " +
-                   expected);
-  } else if (*number < static_cast<double>(info.bounds.min) ||
-             *number > static_cast<double>(info.bounds.max)) {
-    report.Add(ResultCode::kOutOfBounds, node,
-               Prefix(info) + *text + " is out of bounds; write " + expected);
-  } else {
+}
+
+void ReadValue(FieldReport& report,
+               const FieldInfo& info,
+               const YAML::Node& node,
+               Duration& value) {
+  if (const auto number = ReadDecimal(report, info, node)) {
     value = Duration(std::llround(*number * MicrosecondsPerUnit(info.unit)));
   }
 }
@@ -329,6 +351,10 @@
   return "true or false";
 }
 
+std::string_view TypeName(double /*value*/) {
+  return "number";
+}
+
 std::string_view TypeName(const std::string& /*value*/) {
   return "name";
 }
@@ -369,6 +395,13 @@
   return FormatKeyword<bool>(kBooleanKeywords, value);
 }
 
+std::string FormatValue(double value) {
+  std::array<char, 32> text{};
+  const auto result =
+      std::to_chars(text.data(), text.data() + text.size(), value);
+  return {text.data(), result.ptr};
+}
+
 std::string FormatValue(const std::string& value) {
   return value;
 }
--- a/src/config/field_type.h
+++ b/src/config/field_type.h
@@ -47,6 +47,10 @@
                const FieldInfo& info,
                const YAML::Node& node,
                bool& value);
+void ReadValue(FieldReport& report,
+               const FieldInfo& info,
+               const YAML::Node& node,
+               double& value);
 void ReadValue(FieldReport& report,
                const FieldInfo& info,
                const YAML::Node& node,
@@ -89,6 +93,7 @@
 // Each overload returns the name of the type as shown to operators.
 std::string_view TypeName(std::uint32_t value);
 std::string_view TypeName(bool value);
+std::string_view TypeName(double value);
 std::string_view TypeName(const std::string& value);
 std::string_view TypeName(Duration value);
 std::string_view TypeName(NodeId value);
@@ -101,6 +106,7 @@
 // Each overload formats a default value as shown to operators.
 std::string FormatValue(std::uint32_t value);
 std::string FormatValue(bool value);
+std::string FormatValue(double value);
 std::string FormatValue(const std::string& value);
 // `unit`: "s" or "ms", in which the setting is written.
 std::string FormatValue(Duration value, std::string_view unit);
--- a/src/wire/flow_codec.cc
+++ b/src/wire/flow_codec.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <limits>
+#include <string>
+#include <string_view>
 
 #include "src/wire/flow.pb.h"
 
@@ -10,7 +12,7 @@
 
 constexpr auto kFirstNoticeKind = static_cast<std::uint32_t>(NoticeKind::kLoad);
 constexpr auto kLastNoticeKind =
-    static_cast<std::uint32_t>(NoticeKind::kSaturated);
+    static_cast<std::uint32_t>(NoticeKind::kLookupReply);
 
 bool IsPort(std::uint32_t number) {
   return number <= std::numeric_limits<std::uint16_t>::max();
@@ -21,6 +23,12 @@
 constexpr std::uint32_t kMaxWarmupMs = 600000;
 constexpr std::uint32_t kMaxTimeLimitMs = 3600000;
 constexpr std::uint32_t kMaxSlots = 65535;
+constexpr std::uint32_t kMaxFormerServiceAgeMs = 86400000;
+constexpr std::uint32_t kMaxPriority = 255;
+constexpr float kMaxRate = 1e6F;  // requests or openings per second
+
+// Bytes of a flow in FlowNotice::lookup_flows.
+constexpr std::size_t kLookupFlowBytes = 12;
 
 std::uint64_t ToMilliseconds(Duration duration) {
   return static_cast<std::uint64_t>(std::max<std::int64_t>(
@@ -28,6 +36,11 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()));
 }
 
+// Returns 0 for a rate that is not a number, negative or absurdly large.
+double ToRate(float rate) {
+  return rate > 0 && rate <= kMaxRate ? static_cast<double>(rate) : 0.0;
+}
+
 void SetAddress(const Endpoint& endpoint, wire::FlowAddress& address) {
   address.set_ip(endpoint.address);
   address.set_port(endpoint.port);
@@ -41,11 +54,20 @@
   SetAddress(route.service_address, *message.mutable_address());
   message.set_time_limit_ms(
       static_cast<std::uint32_t>(ToMilliseconds(route.time_limit)));
+  message.set_latency_target_ms(
+      static_cast<std::uint32_t>(ToMilliseconds(route.latency_target)));
+  message.set_priority(route.priority);
+  message.set_idempotent(route.idempotent);
   for (const ServiceShare& share : route.services) {
     wire::FlowShare& added = *message.add_services();
     added.set_service(ToNumber(share.service));
     added.set_weight(share.weight);
   }
+  for (const FormerService& former : route.former_services) {
+    wire::FlowFormerService& added = *message.add_former_services();
+    added.set_service(ToNumber(former.service));
+    added.set_age_ms(static_cast<std::uint32_t>(ToMilliseconds(former.age)));
+  }
 }
 
 FlowRoute ToRoute(const wire::FlowRoute& message) {
@@ -56,9 +78,125 @@
   for (const wire::FlowShare& share : message.services()) {
     route.services.push_back({ServiceId{share.service()}, share.weight()});
   }
+  route.latency_target = std::chrono::milliseconds(
+      std::min(message.latency_target_ms(), kMaxTimeLimitMs));
+  route.priority = std::min(message.priority(), kMaxPriority);
+  route.idempotent = message.idempotent();
+  for (const wire::FlowFormerService& former : message.former_services()) {
+    route.former_services.push_back(
+        {ServiceId{former.service()},
+         std::chrono::milliseconds(
+             std::min(former.age_ms(), kMaxFormerServiceAgeMs))});
+  }
   return route;
 }
 
+void SetWarmupLimit(const WarmupLimit& limit, wire::FlowWarmupLimit& message) {
+  message.set_service(ToNumber(limit.service));
+  message.set_openings_per_second(
+      static_cast<float>(limit.openings_per_second));
+  message.set_warmup_ms(
+      static_cast<std::uint32_t>(ToMilliseconds(limit.warmup_time)));
+}
+
+WarmupLimit ToWarmupLimit(const wire::FlowWarmupLimit& message) {
+  return {
+      ServiceId{message.service()}, ToRate(message.openings_per_second()),
+      std::chrono::milliseconds(std::min(message.warmup_ms(), kMaxWarmupMs))};
+}
+
+void SetZoneOrder(const ZoneOrder& order, wire::FlowZoneOrder& message) {
+  message.set_zone(order.zone);
+  message.set_evacuated(order.evacuated);
+  message.set_era(order.position.era);
+  message.set_revision(order.position.revision);
+}
+
+ZoneOrder ToZoneOrder(const wire::FlowZoneOrder& message) {
+  return {
+      message.zone(), message.evacuated(), {message.era(), message.revision()}};
+}
+
+void SetOrders(const AgentOrders& orders, wire::FlowOrders& message) {
+  message.set_evacuated(orders.evacuated);
+  message.set_era(orders.evacuation_position.era);
+  message.set_revision(orders.evacuation_position.revision);
+  message.set_warmup_openings_per_second(
+      static_cast<float>(orders.warmup_openings_per_second));
+  message.set_warmup_remaining_ms(
+      static_cast<std::uint32_t>(ToMilliseconds(orders.warmup_remaining)));
+  message.set_slots(orders.slots);
+}
+
+AgentOrders ToOrders(const wire::FlowOrders& message) {
+  AgentOrders orders;
+  orders.evacuated = message.evacuated();
+  orders.evacuation_position = {message.era(), message.revision()};
+  orders.warmup_openings_per_second =
+      ToRate(message.warmup_openings_per_second());
+  orders.warmup_remaining = std::chrono::milliseconds(
+      std::min(message.warmup_remaining_ms(), kMaxWarmupMs));
+  orders.slots = std::min(message.slots(), kMaxSlots);
+  return orders;
+}
+
+void AppendBigEndian(std::uint32_t value, std::size_t bytes, std::string& to) {
+  for (std::size_t i = bytes; i-- > 0;) {
+    to += static_cast<char>((value >> (8U * i)) & 0xFFU);
+  }
+}
+
+std::uint32_t ReadBigEndian(std::string_view bytes) {
+  std::uint32_t value = 0;
+  for (const char byte : bytes) {
+    value = (value << 8U) | static_cast<std::uint8_t>(byte);
+  }
+  return value;
+}
+
+void SetLookups(const std::vector<FlowLookup>& lookups,
+                wire::FlowNotice& message) {
+  for (const FlowLookup& lookup : lookups) {
+    std::string& flows = *message.mutable_lookup_flows();
+    for (const Endpoint& endpoint :
+         {lookup.flow.client, lookup.flow.service_address}) {
+      AppendBigEndian(endpoint.address, sizeof(endpoint.address), flows);
+      AppendBigEndian(endpoint.port, sizeof(endpoint.port), flows);
+    }
+    *message.mutable_lookup_results() += static_cast<char>(lookup.result);
+  }
+}
+
+LookupResult ToLookupResult(char byte) {
+  const auto result = static_cast<LookupResult>(byte);
+  return result == LookupResult::kHeld || result == LookupResult::kNotHeld
+             ? result
+             : LookupResult::kUnknown;
+}
+
+// Returns false if the fields of the lookups are malformed.
+bool ReadLookups(const wire::FlowNotice& message,
+                 std::vector<FlowLookup>& lookups) {
+  const std::string_view flows = message.lookup_flows();
+  const std::string_view results = message.lookup_results();
+  if (flows.size() != results.size() * kLookupFlowBytes ||
+      results.size() > kMaxLookups) {
+    return false;
+  }
+  for (std::size_t i = 0; i < results.size(); ++i) {
+    const std::string_view flow =
+        flows.substr(i * kLookupFlowBytes, kLookupFlowBytes);
+    const auto endpoint_at = [flow](std::size_t offset) {
+      return Endpoint{ReadBigEndian(flow.substr(offset, 4)),
+                      static_cast<std::uint16_t>(
+                          ReadBigEndian(flow.substr(offset + 4, 2)))};
+    };
+    lookups.push_back(
+        {{endpoint_at(0), endpoint_at(6)}, ToLookupResult(results[i])});
+  }
+  return true;
+}
+
 void SetServer(const ServerChange& change, wire::FlowServer& message) {
   message.set_revision(change.position.revision);
   message.set_era(change.position.era);
@@ -110,6 +248,12 @@
   message.set_packet(notice.packet.data(), notice.packet.size());
   message.set_acknowledgement(notice.acknowledgement);
   message.set_most_running(notice.max_running);
+  message.set_capacity(static_cast<float>(notice.load.capacity));
+  message.set_evacuated(notice.load.evacuated);
+  if (notice.kind == NoticeKind::kQuery) {
+    SetOrders(notice.orders, *message.mutable_orders());
+  }
+  SetLookups(notice.lookups, message);
   Bytes bytes(message.ByteSizeLong());
   message.SerializeToArray(bytes.data(), static_cast<int>(bytes.size()));
   return bytes;
@@ -124,6 +268,9 @@
     return std::nullopt;
   }
   FlowNotice notice;
+  if (!ReadLookups(message, notice.lookups)) {
+    return std::nullopt;
+  }
   notice.kind = static_cast<NoticeKind>(message.kind());
   notice.sender = sender;
   notice.service_tag = message.service_tag();
@@ -131,7 +278,9 @@
                         static_cast<std::uint16_t>(message.client_port())};
   notice.flow.service_address = {
       message.service_ip(), static_cast<std::uint16_t>(message.service_port())};
-  notice.load = {message.running(), message.open_flows(), message.down()};
+  notice.load = {message.running(), message.open_flows(), message.down(),
+                 ToRate(message.capacity()), message.evacuated()};
+  notice.orders = ToOrders(message.orders());
   notice.packet.assign(message.packet().begin(), message.packet().end());
   notice.acknowledgement = message.acknowledgement();
   notice.max_running = message.most_running();
@@ -165,6 +314,12 @@
   for (const ServerChange& change : message.servers) {
     SetServer(change, *encoded.add_servers());
   }
+  for (const WarmupLimit& limit : message.warmup_limits) {
+    SetWarmupLimit(limit, *encoded.add_warmup_limits());
+  }
+  for (const ZoneOrder& order : message.zone_orders) {
+    SetZoneOrder(order, *encoded.add_zone_orders());
+  }
   Bytes bytes(encoded.ByteSizeLong());
   encoded.SerializeToArray(bytes.data(), static_cast<int>(bytes.size()));
   return bytes;
@@ -203,6 +358,12 @@
   for (const wire::FlowServer& server : encoded.servers()) {
     message.servers.push_back(ToChange(server));
   }
+  for (const wire::FlowWarmupLimit& limit : encoded.warmup_limits()) {
+    message.warmup_limits.push_back(ToWarmupLimit(limit));
+  }
+  for (const wire::FlowZoneOrder& order : encoded.zone_orders()) {
+    message.zone_orders.push_back(ToZoneOrder(order));
+  }
   return message;
 }
 
--- a/tests/flow/test_flow_parts.cc
+++ b/tests/flow/test_flow_parts.cc
@@ -71,7 +71,11 @@
  public:
   void RouteSetVersionsOnlyIncrease() {
     ActiveRoutes routes;
-    RouteSet newer{7, {{kFlow.service_address, {{ServiceId{1}, 1}}, {}}}, {}};
+    RouteSet newer;
+    newer.version = 7;
+    newer.routes.emplace_back();
+    newer.routes.back().service_address = kFlow.service_address;
+    newer.routes.back().services = {{ServiceId{1}, 1}};
     CPPUNIT_ASSERT(routes.Apply(newer));
     CPPUNIT_ASSERT(!routes.Apply(RouteSet{6, {}, {}}));
     CPPUNIT_ASSERT(!routes.Apply(newer));
@@ -363,6 +367,26 @@
     CPPUNIT_ASSERT_EQUAL(99U, decoded->acknowledgement);
     CPPUNIT_ASSERT_EQUAL(6U, decoded->max_running);
 
+    FlowNotice lookup;
+    lookup.kind = NoticeKind::kLookupReply;
+    lookup.lookups = {{kFlow, LookupResult::kHeld},
+                      {kFlow, LookupResult::kNotHeld}};
+    const auto reply = DecodeFlowNotice(EncodeFlowNotice(lookup), 1);
+    CPPUNIT_ASSERT(reply.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, reply->lookups.size());
+    CPPUNIT_ASSERT(reply->lookups[1].flow == kFlow);
+    CPPUNIT_ASSERT(LookupResult::kNotHeld == reply->lookups[1].result);
+
+    FlowNotice query;
+    query.kind = NoticeKind::kQuery;
+    query.orders = {true, {3, 17}, 8.5, seconds(1), 3};
+    const auto orders = DecodeFlowNotice(EncodeFlowNotice(query), 1);
+    CPPUNIT_ASSERT(orders.has_value() && orders->orders.evacuated);
+    CPPUNIT_ASSERT((StorePosition{3, 17}) ==
+                   orders->orders.evacuation_position);
+    CPPUNIT_ASSERT_EQUAL(8.5, orders->orders.warmup_openings_per_second);
+    CPPUNIT_ASSERT_EQUAL(3U, orders->orders.slots);
+
     GossipMessage message;
     message.kind = GossipKind::kServers;
     message.view_version = {true, 3, {5, 44}};
@@ -371,7 +395,17 @@
     message.readers = {{{0x0A010002, 7}, milliseconds(40)}};
     message.age = milliseconds(250);
     message.servers = {MakeChange("a", 41, 9)};
-    message.routes = {{kFlow.service_address, {{ServiceId{8}, 3}}, seconds(4)}};
+    FlowRoute route;
+    route.service_address = kFlow.service_address;
+    route.services = {{ServiceId{8}, 3}};
+    route.time_limit = seconds(4);
+    route.latency_target = milliseconds(200);
+    route.priority = 2;
+    route.idempotent = true;
+    route.former_services = {{ServiceId{9}, seconds(3)}};
+    message.routes = {route};
+    message.warmup_limits = {{ServiceId{8}, 12.5, seconds(2)}};
+    message.zone_orders = {{"zone-1", true, {5, 43}}};
     const auto gossip =
         DecodeFlowGossip(EncodeFlowGossip(message), {0x0A010001, 7});
     CPPUNIT_ASSERT(gossip.has_value());
@@ -385,7 +419,19 @@
     CPPUNIT_ASSERT_EQUAL(9U, gossip->servers.at(0).server.host);
     CPPUNIT_ASSERT_EQUAL(3U, gossip->routes.at(0).services.at(0).weight);
     CPPUNIT_ASSERT(Duration(milliseconds(250)) == gossip->age);
-    CPPUNIT_ASSERT(Duration(seconds(4)) == gossip->routes.at(0).time_limit);
+    const FlowRoute& decoded_route = gossip->routes.at(0);
+    CPPUNIT_ASSERT(route.time_limit == decoded_route.time_limit);
+    CPPUNIT_ASSERT(route.latency_target == decoded_route.latency_target);
+    CPPUNIT_ASSERT_EQUAL(2U, decoded_route.priority);
+    CPPUNIT_ASSERT(decoded_route.idempotent);
+    CPPUNIT_ASSERT(ServiceId{9} == decoded_route.former_services.at(0).service);
+    CPPUNIT_ASSERT(Duration(seconds(3)) ==
+                   decoded_route.former_services.at(0).age);
+    CPPUNIT_ASSERT_EQUAL(12.5, gossip->warmup_limits.at(0).openings_per_second);
+    CPPUNIT_ASSERT_EQUAL(std::string("zone-1"), gossip->zone_orders.at(0).zone);
+    CPPUNIT_ASSERT(gossip->zone_orders.at(0).evacuated);
+    CPPUNIT_ASSERT((StorePosition{5, 43}) ==
+                   gossip->zone_orders.at(0).position);
     CPPUNIT_ASSERT(!DecodeFlowGossip(Bytes{0xFF, 0xFF}, {}).has_value());
     CPPUNIT_ASSERT(!DecodeFlowNotice(Bytes{0x08, 0x63}, 1).has_value());
   }
