--- a/tests/support/flow_simulation_store.cc
+++ b/tests/support/flow_simulation_store.cc
@@ -160,8 +160,9 @@
       RouteSet routes;
       routes.version = this->routes_version;
       for (const auto& [port, service] : this->routes_history.back().routes) {
-        routes.routes.push_back(
-            {{kRouteAddress, port}, {{MakeServiceId(service), 1}}, {}});
+        FlowRoute& route = routes.routes.emplace_back();
+        route.service_address = {kRouteAddress, port};
+        route.services = {{MakeServiceId(service), 1}};
       }
       answer.routes.push_back(std::move(routes));
     }
