--- a/tests/run_sanitized.sh
+++ b/tests/run_sanitized.sh
@@ -11,7 +11,7 @@
   tests/flow/test_store_eras.cc tests/flow/test_flow_fleet.cc
   tests/flow/test_flow_congestion_control.cc
   $(ls tests/support/flow_simulation*.cc) tests/support/link.cc
-  $(ls src/core/flow/*.cc) src/core/common/metric_set.cc src/core/types.cc"
+  $(ls src/core/flow/*/*.cc) src/core/common/metric_set.cc src/core/types.cc"
 launcher=$(command -v ccache || true)
 for source in $sources; do
   echo "$source $folder/$(echo "$source" | tr / _).o"
