Searches include the services that a route named before

Cause: a search queried only the servers of the services that the route names now.

Change: FormerServices records when a newer version of the routes no longer names a service. Searches query its servers after those of the services that the route names, for the maximum lifetime of a flow. Routes sent to peers carry the records, and an entry for no service that says for how long the sender has known all changes; the pulls of a started balancer therefore ask for the routes too. A kWrongService notice no longer counts as a denial of a server of the notice's own service on the same host. A part of a routes reply holds 12 routes instead of 40, since the records make them larger.

The flow simulation puts routes with several services and weights; the random schedules change them.

--- a/src/core/flow/balancer/flow_balancer.cc
+++ b/src/core/flow/balancer/flow_balancer.cc
@@ -81,8 +81,7 @@
   void OnOpening(const FlowPacket& packet,
                  TimePoint arrived_at,
                  const FlowRoute& route);
-  void OnNonOpening(const FlowPacket& packet,
-                    const std::vector<ServiceShare>& shares);
+  void OnNonOpening(const FlowPacket& packet);
 
   // Estimates the start time of the client's request for which a flow is
   // opened.
@@ -148,9 +147,11 @@
 void FlowBalancer::Impl::OnNotice(const FlowNotice& notice) {
   ServerTable& servers = this->view.Servers();
   if (notice.kind == NoticeKind::kWrongService) {
-    // The view is out of date: the host serves another service.
+    // The view is out of date: the host serves another service, that of the
+    // notice's tag.
     for (auto& [key, entry] : servers.All()) {
-      if (entry.server.host == notice.sender) {
+      if (entry.server.host == notice.sender &&
+          ServiceTag(entry.server.service) != notice.service_tag) {
         this->OnRefused(notice, key);
         this->OnNotHeld(notice, key);
       }
@@ -251,7 +252,7 @@
   const FlowRoute* route =
       this->view.Routes().Find(notice.flow.service_address);
   if (route != nullptr && !notice.packet.empty()) {
-    this->searcher.Begin(this->now, notice.flow, route->services, notice.packet,
+    this->searcher.Begin(this->now, notice.flow, notice.packet,
                          notice.acknowledgement, true);
   }
 }
@@ -284,7 +285,7 @@
   } else if (packet.opening) {
     this->OnOpening(packet, arrived_at, *route);
   } else {
-    this->OnNonOpening(packet, route->services);
+    this->OnNonOpening(packet);
   }
 }
 
@@ -416,8 +417,7 @@
   this->openings.Erase(flow);
 }
 
-void FlowBalancer::Impl::OnNonOpening(const FlowPacket& packet,
-                                      const std::vector<ServiceShare>& shares) {
+void FlowBalancer::Impl::OnNonOpening(const FlowPacket& packet) {
   if (this->searcher.BufferPacket(packet)) {
     return;
   }
@@ -437,7 +437,7 @@
                          Bytes(packet.bytes.begin(), packet.bytes.end()));
     return;
   }
-  this->searcher.Begin(this->now, packet.flow, shares, packet.bytes,
+  this->searcher.Begin(this->now, packet.flow, packet.bytes,
                        packet.acknowledgement, false);
 }
 
--- a/src/core/flow/search/flow_searcher.cc
+++ b/src/core/flow/search/flow_searcher.cc
@@ -41,7 +41,6 @@
 
 void FlowSearcher::Begin(TimePoint now,
                          const FlowKey& flow,
-                         const std::vector<ServiceShare>& shares,
                          ByteView packet,
                          std::uint32_t acknowledgement,
                          bool holder_denied) {
@@ -50,12 +49,7 @@
     this->metrics.Count("flow_packets_dropped", "reason", "searches_full");
     return;
   }
-  for (const ServiceShare& share : shares) {
-    const std::vector<ServerKey> candidates =
-        OrderServers(this->view.Servers(), share.service, flow);
-    search->candidates.insert(search->candidates.end(), candidates.begin(),
-                              candidates.end());
-  }
+  search->candidates = this->Candidates(now, flow);
   const auto denial = this->denials.find(flow);
   if (denial != this->denials.end()) {
     RemoveDenied(*search, denial->second.servers);
@@ -69,6 +63,28 @@
   this->QueryOrEnqueue(now, *search);
 }
 
+std::vector<ServerKey> FlowSearcher::Candidates(TimePoint now,
+                                                const FlowKey& flow) const {
+  const ActiveRoutes& routes = this->view.Routes();
+  std::vector<ServiceId> services =
+      routes.ServicesOfFlows(now, flow.service_address);
+  if (!routes.KnowsFormerServices(now)) {
+    for (const ServiceId service : this->view.Servers().Services()) {
+      if (std::find(services.begin(), services.end(), service) ==
+          services.end()) {
+        services.push_back(service);
+      }
+    }
+  }
+  std::vector<ServerKey> candidates;
+  for (const ServiceId service : services) {
+    const std::vector<ServerKey> ordered =
+        OrderServers(this->view.Servers(), service, flow);
+    candidates.insert(candidates.end(), ordered.begin(), ordered.end());
+  }
+  return candidates;
+}
+
 void FlowSearcher::NoteHeld(TimePoint now,
                             const FlowNotice& notice,
                             ServerKey server) {
--- a/src/core/flow/search/flow_searcher.h
+++ b/src/core/flow/search/flow_searcher.h
@@ -30,11 +30,11 @@
   // none is.
   bool BufferPacket(const FlowPacket& packet);
 
-  // Begins a search. `holder_denied`: the server that held the flow reported
-  // that it no longer holds it.
+  // Begins a search among the servers of the services that may hold the flow.
+  // `holder_denied`: the server that held the flow reported that it no longer
+  // holds it.
   void Begin(TimePoint now,
              const FlowKey& flow,
-             const std::vector<ServiceShare>& shares,
              ByteView packet,
              std::uint32_t acknowledgement,
              bool holder_denied);
@@ -67,6 +67,10 @@
     TimePoint at;
   };
 
+  // Servers that may hold `flow`, those of the services that its route names
+  // now first. If former services may be unknown, the servers of all other
+  // services follow.
+  std::vector<ServerKey> Candidates(TimePoint now, const FlowKey& flow) const;
   // Queries the next batch of candidates, or queues the search while the
   // congestion window is full.
   void QueryOrEnqueue(TimePoint now, FlowSearch& search);
--- a/src/core/flow/view/route_set.h
+++ b/src/core/flow/view/route_set.h
@@ -9,27 +9,46 @@
 
 #include "cactuscross/flow_types.h"
 #include "cactuscross/flow_view.h"
+#include "src/core/flow/view/former_services.h"
 
 namespace cactuscross {
 
 class ActiveRoutes {
  public:
+  // `flow_max_age`: maximum lifetime of a flow.
+  explicit ActiveRoutes(Duration flow_max_age) : former(flow_max_age) {}
+
   // Replaces the routes if the version of `routes` is newer; returns whether it
-  // is.
-  bool Apply(const RouteSet& routes);
+  // is. At the same version, the former services that a peer knows are merged.
+  bool Apply(TimePoint now, const RouteSet& routes);
+  // Drops former services whose flows have ended.
+  void Expire(TimePoint now) { this->former.Expire(now); }
 
   bool IsLoaded() const { return this->loaded; }
   std::uint64_t Version() const { return this->version; }
   std::size_t Size() const { return this->routes.size(); }
-  std::vector<FlowRoute> All() const;
+  // All routes with their former services, for a peer.
+  std::vector<FlowRoute> All(TimePoint now) const;
 
   // Route for `address`; null if there is none. Valid until the next Apply().
   const FlowRoute* Find(const Endpoint& address) const;
 
+  // Services whose servers may hold flows of the route of `address`: those that
+  // it names, then its former ones. Empty if there is no route.
+  std::vector<ServiceId> ServicesOfFlows(TimePoint now,
+                                         const Endpoint& address) const;
+  // True if ServicesOfFlows() can't lack a former service.
+  bool KnowsFormerServices(TimePoint now) const {
+    return this->former.IsComplete(now);
+  }
+
  private:
+  void Replace(TimePoint now, const RouteSet& routes);
+
   bool loaded = false;
   std::uint64_t version = 0;
   std::unordered_map<Endpoint, FlowRoute, EndpointHash> routes;
+  FormerServices former;
 };
 
 // Selects the service of a new flow in proportion to the weights. The result is
--- a/src/core/flow/view/server_table.cc
+++ b/src/core/flow/view/server_table.cc
@@ -340,6 +340,15 @@
   return newest;
 }
 
+std::vector<ServiceId> ServerTable::Services() const {
+  std::vector<ServiceId> services;
+  for (const auto& [service, keys] : this->by_service) {
+    services.push_back(ServiceId{service});
+  }
+  std::sort(services.begin(), services.end());
+  return services;
+}
+
 const std::vector<ServerKey>& ServerTable::OfService(ServiceId service) const {
   static const std::vector<ServerKey> none;
   const auto found = this->by_service.find(ToNumber(service));
--- a/src/core/flow/view/server_table.h
+++ b/src/core/flow/view/server_table.h
@@ -90,6 +90,8 @@
 
   Entries& All() { return this->entries; }
   const Entries& All() const { return this->entries; }
+  // Services of the servers that may hold flows, in ascending order.
+  std::vector<ServiceId> Services() const;
   // Servers of a service that may hold flows, including unlisted ones.
   const std::vector<ServerKey>& OfService(ServiceId service) const;
 
--- a/src/core/flow/view/store_view.cc
+++ b/src/core/flow/view/store_view.cc
@@ -23,6 +23,7 @@
 
 StoreView::StoreView(std::uint64_t seed, Duration flow_max_age)
     : flow_max_age(flow_max_age),
+      routes(flow_max_age),
       route_reader(StoreSubject::kRoutes, seed),
       server_reader(StoreSubject::kServers, ~seed) {}
 
@@ -33,6 +34,7 @@
     this->Apply(now, answer, outbox.events);
   }
   this->servers.Expire(now, this->flow_max_age);
+  this->routes.Expire(now);
   for (StoreReader* reader : {&this->route_reader, &this->server_reader}) {
     if (!this->reading) {
       break;
@@ -56,10 +58,11 @@
   this->reading = reading;
 }
 
-void StoreView::ApplyRoutes(const RouteSet& routes,
+void StoreView::ApplyRoutes(TimePoint now,
+                            const RouteSet& routes,
                             std::string_view source,
                             std::vector<FlowEvent>& events) {
-  if (!this->routes.Apply(routes)) {
+  if (!this->routes.Apply(now, routes)) {
     return;
   }
   FlowEvent event;
@@ -174,7 +177,7 @@
     events.push_back(std::move(event));
   }
   for (const RouteSet& routes : answer.routes) {
-    this->ApplyRoutes(routes, "store", events);
+    this->ApplyRoutes(now, routes, "store", events);
   }
   if (answer.subject == StoreSubject::kServers &&
       answer.status == StoreStatus::kOk) {
--- a/src/core/flow/view/store_view.h
+++ b/src/core/flow/view/store_view.h
@@ -30,8 +30,10 @@
   // store does not answer.
   void SetReading(bool reading, std::uint32_t retry_factor);
 
-  // Applies routes if they are newer. `source` is logged.
-  void ApplyRoutes(const RouteSet& routes,
+  // Applies routes if they are newer, and merges the former services that a
+  // peer knows. `source` is logged.
+  void ApplyRoutes(TimePoint now,
+                   const RouteSet& routes,
                    std::string_view source,
                    std::vector<FlowEvent>& events);
   // Applies servers received from a peer: all changes after `after` up to
--- a/src/core/flow/view/view_gossip.cc
+++ b/src/core/flow/view/view_gossip.cc
@@ -35,11 +35,12 @@
 // Minimum time between two pulls of all servers because the hashes differ.
 constexpr Duration kCompareInterval{1000000};
 
-// Entries in one datagram: a route takes about 25 bytes, a server about 90.
-constexpr std::size_t kRoutesPerPart = 40;
+// Entries in one datagram: a route with two services and two former ones takes
+// about 90 bytes, as a server does.
+constexpr std::size_t kRoutesPerPart = 12;
 constexpr std::size_t kServersPerPart = 10;
 // Maximum number of parts of a reply, enough for 40,000 routes.
-constexpr std::uint32_t kMaxParts = 1000;
+constexpr std::uint32_t kMaxParts = 3400;
 
 // Adds a part to the reply being reassembled; returns true if the reply is
 // complete. A part of a different reply discards the parts received so far.
@@ -211,6 +212,8 @@
   pull.view_version = view.Version();
   if (this->pull_target.all_servers) {
     pull.view_version.servers = StorePosition();
+    // The peer may know former services of the same version of the routes.
+    pull.view_version.routes_version = 0;
   }
   this->Send(this->pull_target.peer, std::move(pull));
 }
@@ -245,7 +248,7 @@
       pull.view_version.routes_version < view_version.routes_version) {
     reply.kind = GossipKind::kRoutes;
     this->SendInParts(pull.sender, reply, &GossipMessage::routes,
-                      view.Routes().All(), kRoutesPerPart);
+                      view.Routes().All(this->now), kRoutesPerPart);
   }
   if (!pull.view_version.loaded ||
       pull.view_version.servers < view_version.servers) {
@@ -266,7 +269,7 @@
   RouteSet routes;
   routes.version = this->routes.view_version.routes_version;
   routes.routes = std::move(this->routes.routes);
-  view.ApplyRoutes(routes, "peer", this->outbox->events);
+  view.ApplyRoutes(this->now, routes, "peer", this->outbox->events);
   this->NoteConfirmation(this->routes, view);
   this->routes_parts.clear();
 }
--- a/tests/flow/test_flow_schedules.cc
+++ b/tests/flow/test_flow_schedules.cc
@@ -120,6 +120,18 @@
                           simulation.SetStoreDown(false, false);
                         });
                   }},
+    // A route names another service as well, or instead, for some time.
+    InjectedFault{"route_change",
+                  [](FlowSimulation& simulation, Random& random) {
+                    FlowRouteShares shares = {{"parts", 10}};
+                    if (random.Chance(0.5)) {
+                      shares.push_back({"desk", 90});
+                    }
+                    simulation.PutRoute(8080, shares);
+                    simulation.GetLink().Schedule(
+                        random.Between(milliseconds(500), milliseconds(4000)),
+                        [&simulation] { simulation.PutRoute(8080, "desk"); });
+                  }},
 };
 
 // `fault_kinds`: number of entries of kInjectedFaults to choose from.
