Flow path: evacuation of a zone, limit of servers that warm up

The operator's orders to evacuate zones were not read, and nothing bounded the openings of a server that warms up over all balancers.

Readers of the store read the prefix op/ where settings have an evacuation bound. Balancers keep the newest order of each zone, pass it on in digests, place nothing in evacuated zones and tell the agents, which refuse openings themselves. Agents limit the openings of a server that warms up in a sliding window; balancers pass over servers that refuse for this reason.

--- a/include/cactuscross/flow_event.h
+++ b/include/cactuscross/flow_event.h
@@ -43,9 +43,11 @@
   kReady,                   // the process became ready for traffic
   kNotReady,                // the process stopped being ready for traffic
   kStopping,                // the process was requested to stop
+  kZoneEvacuated,           // servers of a zone get no more new flows
+  kZoneReturned,            // the order to evacuate a zone was withdrawn
 };
 
-inline constexpr std::size_t kFlowEventKinds = 27;
+inline constexpr std::size_t kFlowEventKinds = 29;
 
 std::string_view NameOf(FlowEventKind kind);
 
@@ -54,6 +56,7 @@
   FlowEventKind kind = FlowEventKind::kPlaced;
   std::optional<FlowKey> flow;
   std::string server;       // name of the server or of the store's entry
+  std::string zone;         // availability zone of an order
   std::string_view reason;  // short, in lower_case
   std::string detail;
   std::optional<std::uint64_t> version;  // of the routes, store revision or era
--- a/src/core/flow/agent/flow_agent.cc
+++ b/src/core/flow/agent/flow_agent.cc
@@ -6,8 +6,10 @@
 #include <utility>
 
 #include "src/core/common/metric_set.h"
+#include "src/core/flow/agent/opening_rate_limit.h"
 #include "src/core/flow/agent/server_flows.h"
 #include "src/core/flow/agent/server_health_check.h"
+#include "src/core/flow/agent/zone_state.h"
 
 namespace cactuscross {
 namespace {
@@ -42,7 +44,9 @@
   explicit Impl(const FlowAgentSettings& settings)
       : settings(settings),
         service(MakeServiceId(settings.service)),
-        knows_all_flows(settings.node.first_start) {}
+        knows_all_flows(settings.node.first_start),
+        rate_limit(settings.node.warmup_overshoot, settings.node.warmup_slack) {
+  }
 
   FlowAgentOutbox Tick(TimePoint now, const FlowAgentInbox& inbox);
   std::vector<MetricSample> Metrics() const;
@@ -60,6 +64,11 @@
   void OnNonOpening(const FlowPacket& packet);
   void OnUnknownFlow(const FlowPacket& packet);
 
+  void ApplyOrders(const AgentOrders& orders);
+  // Returns an opening to its balancer, which tries another server.
+  void RefuseOpening(const FlowPacket& packet,
+                     NoticeKind kind,
+                     std::string_view reason);
   void SendToServer(const FlowPacket& packet);
   void Notify(std::uint32_t balancer,
               NoticeKind kind,
@@ -81,6 +90,8 @@
   bool knows_all_flows;
   // When openings were forwarded whose requests are still expected.
   std::deque<TimePoint> recent_openings;
+  ZoneState zone_state;
+  OpeningRateLimit rate_limit;
   std::uint32_t max_running = 0;  // from queries of balancers; 0: unknown
   std::unordered_map<FlowKey, TimePoint, FlowKeyHash> returned_flows;
   // Time of the last packet or query of each balancer.
@@ -129,11 +140,26 @@
       continue;
     }
     this->max_running = notice.max_running;
+    this->ApplyOrders(notice.orders);
     this->outbox.notices.push_back(
         this->MakeNotice(notice.sender, NoticeKind::kLoad));
   }
 }
 
+void FlowAgent::Impl::ApplyOrders(const AgentOrders& orders) {
+  this->rate_limit.NoteRate(this->now, orders.warmup_openings_per_second,
+                            orders.warmup_remaining);
+  if (!this->zone_state.Apply(orders)) {
+    return;
+  }
+  FlowEvent& event = this->Report(this->zone_state.IsEvacuated()
+                                      ? FlowEventKind::kZoneEvacuated
+                                      : FlowEventKind::kZoneReturned);
+  event.zone = this->settings.node.zone;
+  event.version = this->zone_state.Position().revision;
+  event.count = this->flows.Open();
+}
+
 void FlowAgent::Impl::ReadFromServer(const std::vector<FlowPacket>& packets) {
   if (!packets.empty()) {
     this->health_check.NoteReceived(this->now);
@@ -217,14 +243,21 @@
     this->Notify(packet.sender, NoticeKind::kRefused, packet, false);
     return;
   }
+  if (this->zone_state.IsEvacuated()) {
+    // Also if the flow is known: its client may have closed it and use the port
+    // again, and a client that waits for an answer is served elsewhere.
+    this->RefuseOpening(packet, NoticeKind::kRefused, "zone_evacuated");
+    return;
+  }
+  if (this->rate_limit.IsReached(this->now)) {
+    // Retransmissions count as well: the server cannot tell them apart.
+    this->RefuseOpening(packet, NoticeKind::kSaturated, "warming_up");
+    return;
+  }
   ServerFlow* flow = this->flows.Find(packet.flow);
   if (flow == nullptr) {
     if (this->max_running > 0 && this->ExpectedRunning() >= this->max_running) {
-      FlowEvent& event = this->Report(FlowEventKind::kRefused);
-      event.flow = packet.flow;
-      event.reason = "saturated";
-      event.running = this->ExpectedRunning();
-      this->Notify(packet.sender, NoticeKind::kSaturated, packet, false);
+      this->RefuseOpening(packet, NoticeKind::kSaturated, "saturated");
       return;
     }
     flow = &this->flows.Add(this->now, packet.flow);
@@ -232,9 +265,20 @@
   }
   flow->balancer = packet.sender;
   this->flows.NoteFromClient(this->now, *flow, packet);
+  this->rate_limit.NoteForwarded(this->now);
   this->SendToServer(packet);
 }
 
+void FlowAgent::Impl::RefuseOpening(const FlowPacket& packet,
+                                    NoticeKind kind,
+                                    std::string_view reason) {
+  FlowEvent& event = this->Report(FlowEventKind::kRefused);
+  event.flow = packet.flow;
+  event.reason = reason;
+  event.running = this->ExpectedRunning();
+  this->Notify(packet.sender, kind, packet, false);
+}
+
 void FlowAgent::Impl::OnNonOpening(const FlowPacket& packet) {
   ServerFlow* flow = this->flows.Find(packet.flow);
   if (flow == nullptr) {
@@ -280,8 +324,9 @@
 void FlowAgent::Impl::CheckServer(ProbeResult probe) {
   const bool was_down = this->health_check.IsDown();
   this->health_check.NoteProbe(this->now, probe);
-  if (probe == ProbeResult::kRefused && !this->flows.HasEvicted()) {
-    this->knows_all_flows = true;
+  if (probe == ProbeResult::kRefused) {
+    this->rate_limit.NoteServerStart();
+    this->knows_all_flows = this->knows_all_flows || !this->flows.HasEvicted();
   }
   if (was_down != this->health_check.IsDown()) {
     FlowEvent& event = this->Report(was_down ? FlowEventKind::kServerUp
@@ -320,6 +365,7 @@
   load.running = this->ExpectedRunning();
   load.open_flows = this->flows.Open();
   load.down = this->health_check.IsDown() || this->outbox.may_exit;
+  load.evacuated = this->zone_state.IsEvacuated();
   return load;
 }
 
@@ -327,11 +373,13 @@
   const ServerLoad load = this->Load();
   const bool changed = load.running != this->advertised_load.running ||
                        load.open_flows != this->advertised_load.open_flows;
+  const bool urgent = load.down != this->advertised_load.down ||
+                      load.evacuated != this->advertised_load.evacuated;
   const Duration since = this->now - this->advertised_at;
   const Duration min_interval =
       std::clamp<Duration>(kLoadIntervalPerBalancer * this->balancers.size(),
                            kMinLoadInterval, kMaxLoadInterval);
-  if (load.down == this->advertised_load.down && since < kMaxLoadInterval &&
+  if (!urgent && since < kMaxLoadInterval &&
       (!changed || since < min_interval)) {
     return;
   }
@@ -402,6 +450,9 @@
                      static_cast<double>(this->flows.Running())});
   samples.push_back({"flow_server_down", MetricKind::kGauge, "",
                      this->health_check.IsDown() ? 1.0 : 0.0});
+  samples.push_back({"flow_zone_evacuated", MetricKind::kGauge,
+                     "zone=\"" + this->settings.node.zone + "\"",
+                     this->zone_state.IsEvacuated() ? 1.0 : 0.0});
   return samples;
 }
 
--- a/src/core/flow/balancer/flow_balancer.cc
+++ b/src/core/flow/balancer/flow_balancer.cc
@@ -6,10 +6,12 @@
 
 #include "src/core/common/metric_set.h"
 #include "src/core/flow/admission/opening_table.h"
+#include "src/core/flow/balancer/agent_queries.h"
 #include "src/core/flow/common/response_timeout.h"
 #include "src/core/flow/forwarding/early_packets.h"
 #include "src/core/flow/forwarding/flow_cache.h"
 #include "src/core/flow/forwarding/flow_sender.h"
+#include "src/core/flow/placement/evacuated_service.h"
 #include "src/core/flow/placement/placement.h"
 #include "src/core/flow/search/flow_searcher.h"
 #include "src/core/flow/view/store_view.h"
@@ -23,10 +25,6 @@
 // abandons the opening.
 constexpr std::size_t kMaxAttempts = 6;
 
-// An agent that sent no notice for this time is queried for its load. Agents
-// send their load unprompted to balancers that have contacted them within
-// seconds.
-constexpr Duration kQueryInterval{1000000};
 // Limits the cost of a tick in a large fleet.
 constexpr std::size_t kMaxQueriesPerTick = 64;
 
@@ -46,7 +44,9 @@
  public:
   Impl(const FlowBalancerSettings& settings, std::uint64_t seed)
       : settings(settings),
-        view(seed, settings.node.flow_max_age),
+        view(seed,
+             settings.node.flow_max_age,
+             settings.node.evacuation_bound > Duration{0}),
         gossip(settings),
         sender(this->settings),
         searcher(view, gossip, sender, metrics) {}
@@ -229,6 +229,7 @@
   if (opening != nullptr && !opening->waiting) {
     this->response_timeout.NoteAnswered(this->now);
     opening->attempted_servers.pop_back();
+    PauseIfRateLimited(this->now, *this->view.Servers().Find(server));
     this->SendToNextServer(*opening, "server_saturated");
   }
 }
@@ -318,14 +319,17 @@
         opening->waiting
             ? nullptr
             : this->view.Servers().Find(opening->attempted_servers.back());
-    if (entry != nullptr) {
+    if (entry != nullptr && IsEvacuated(*entry)) {
+      this->SendToNextServer(*opening, kZoneEvacuatedReason);
+    } else if (entry != nullptr) {
       this->sender.Forward(*entry, MarkPurpose::kOpening, opening->packet);
     }
     return;
   }
   const ServerKey holder = this->cache.Lookup(this->now, packet.flow, false);
   const ServerEntry* entry = this->view.Servers().Find(holder);
-  if (entry != nullptr && !entry->load.down && !entry->suspected) {
+  if (entry != nullptr && !entry->load.down && !entry->suspected &&
+      !IsEvacuated(*entry)) {
     this->sender.Forward(*entry, MarkPurpose::kOpening,
                          Bytes(packet.bytes.begin(), packet.bytes.end()));
     return;
@@ -367,8 +371,12 @@
       PlaceFlow(this->now, servers, opening.service, opening.flow,
                 this->settings.node.zone, opening.attempted_servers);
   if (placement.status == PlacementStatus::kNoServer) {
-    this->RefuseOpening(
-        opening, opening.attempted_servers.empty() ? "no_server" : reason);
+    if (IsServiceEvacuated(this->now, servers, opening.service)) {
+      reason = kZoneEvacuatedReason;
+    } else if (opening.attempted_servers.empty()) {
+      reason = "no_server";
+    }
+    this->RefuseOpening(opening, reason);
     return;
   }
   if (placement.status == PlacementStatus::kSaturated) {
@@ -463,23 +471,31 @@
 }
 
 void FlowBalancer::Impl::QueryAgents() {
+  if (HasWarmupBound(this->settings.node) && !this->view.IsLoaded()) {
+    // An agent takes a query without a limit to mean that there is none.
+    return;
+  }
   std::size_t queries = 0;
   for (auto& [key, entry] : this->view.Servers().All()) {
     const bool needs_query =
         !entry.agent_notice_received || entry.suspected ||
         this->now - entry.last_agent_notice_at > kQueryInterval;
-    if (!needs_query || this->now - entry.queried_at < kQueryInterval ||
-        !entry.listed) {
+    const bool is_due =
+        needs_query && this->now - entry.queried_at >= kQueryInterval;
+    if (!entry.listed ||
+        (!is_due && !AreOrdersDue(this->now, this->view, entry))) {
       continue;
     }
     if (++queries > kMaxQueriesPerTick) {
       return;
     }
     entry.queried_at = this->now;
+    entry.orders_changed = false;
     OutgoingNotice query;
     query.host = entry.server.host;
     query.notice.kind = NoticeKind::kQuery;
     query.notice.max_running = MaxRunning(entry);
+    query.notice.orders = MakeAgentOrders(this->now, this->view, entry);
     query.notice.service_tag = ServiceTag(entry.server.service);
     this->sender.Outbox().notices.push_back(std::move(query));
   }
@@ -536,6 +552,7 @@
   gauge("flow_store_era",
         static_cast<double>(this->view.Version().servers.era));
   gauge("flow_ready", this->ready ? 1 : 0);
+  AppendZoneMetrics(this->view, samples);
   return samples;
 }
 
--- a/src/core/flow/common/flow_types.cc
+++ b/src/core/flow/common/flow_types.cc
@@ -48,6 +48,8 @@
       "ready",
       "not_ready",
       "stopping",
+      "zone_evacuated",
+      "zone_returned",
   };
   return kNames.at(static_cast<std::size_t>(kind));
 }
--- a/src/core/flow/placement/placement.cc
+++ b/src/core/flow/placement/placement.cc
@@ -86,7 +86,7 @@
       suspected = suspected == kNoServer ? key : suspected;
       continue;
     }
-    if (IsSaturated(entry)) {
+    if (IsSaturated(entry) || now < entry.paused_until) {
       best.status = compared == 0 ? PlacementStatus::kSaturated : best.status;
       continue;
     }
--- a/src/core/flow/view/route_set.h
+++ b/src/core/flow/view/route_set.h
@@ -22,6 +22,12 @@
   std::uint64_t Version() const { return this->version; }
   std::size_t Size() const { return this->routes.size(); }
   std::vector<FlowRoute> All() const;
+  const std::vector<WarmupLimit>& WarmupLimits() const {
+    return this->warmup_limits;
+  }
+  // Limit of the servers of `service` while they warm up; null if there is
+  // none. Valid until the next Apply().
+  const WarmupLimit* FindWarmupLimit(ServiceId service) const;
 
   // Route for `address`; null if there is none. Valid until the next Apply().
   const FlowRoute* Find(const Endpoint& address) const;
@@ -30,6 +36,7 @@
   bool loaded = false;
   std::uint64_t version = 0;
   std::unordered_map<Endpoint, FlowRoute, EndpointHash> routes;
+  std::vector<WarmupLimit> warmup_limits;
 };
 
 // Selects the service of a new flow in proportion to the weights. The result is
--- a/src/core/flow/view/server_table.cc
+++ b/src/core/flow/view/server_table.cc
@@ -131,6 +131,9 @@
   entry.position = std::max(change.position, entry.position);
   entry.listed = true;
   entry.warmup_ends_at = now + change.server.warmup_time;
+  entry.orders_changed = entry.orders_changed || restarted ||
+                         change.server.warmup_time > Duration{0};
+  this->UpdateEvacuation(now, entry);
   if (!was_listed || restarted || phase_before != change.server.phase) {
     FlowEvent event = ServerEvent(was_listed ? FlowEventKind::kServerChanged
                                              : FlowEventKind::kServerListed,
@@ -163,6 +166,7 @@
   entry.key = key;
   entry.server = change.server;
   entry.position = change.position;
+  this->UpdateEvacuation(now, entry);
   entry.listed = false;
   // The grace period applies only to entries that were seen to expire.
   entry.unlisted_at = now - kExpiredEntryGrace;
@@ -245,6 +249,26 @@
   events.push_back(std::move(event));
 }
 
+void ServerTable::SetEvacuatedZones(TimePoint now,
+                                    const std::set<std::string>& zones) {
+  this->evacuated_zones = zones;
+  for (auto& [key, entry] : this->entries) {
+    this->UpdateEvacuation(now, entry);
+  }
+}
+
+void ServerTable::UpdateEvacuation(TimePoint now, ServerEntry& entry) const {
+  const bool evacuated = this->evacuated_zones.count(entry.server.zone) > 0;
+  if (entry.zone_evacuated == evacuated) {
+    return;
+  }
+  entry.zone_evacuated = evacuated;
+  entry.orders_changed = true;
+  if (!evacuated) {
+    entry.zone_returned_at = now;
+  }
+}
+
 void ServerTable::ApplyNotice(TimePoint now,
                               const FlowNotice& notice,
                               std::vector<FlowEvent>& events) {
@@ -365,8 +389,13 @@
   return !entry.listed && now - entry.unlisted_at >= grace && silent;
 }
 
+bool IsEvacuated(const ServerEntry& entry) {
+  return entry.zone_evacuated || entry.load.evacuated;
+}
+
 bool AcceptsNewFlows(TimePoint now, const ServerEntry& entry) {
-  if (entry.server.phase == ServerPhase::kLeaving || entry.load.down) {
+  if (entry.server.phase == ServerPhase::kLeaving || entry.load.down ||
+      IsEvacuated(entry)) {
     return false;
   }
   return entry.listed || now - entry.unlisted_at < kExpiredEntryGrace;
--- a/src/core/flow/view/server_table.h
+++ b/src/core/flow/view/server_table.h
@@ -5,6 +5,8 @@
 // agents report, and which of them accept new flows.
 
 #include <cstdint>
+#include <set>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -32,6 +34,15 @@
   // Consecutive openings that its agent left unanswered.
   std::uint32_t unanswered = 0;
   bool suspected = false;
+
+  bool zone_evacuated = false;  // by an order that this process knows
+  TimePoint zone_returned_at;   // the last such order was withdrawn
+  // Its agent refused an opening although the server has free capacity. The
+  // server gets no openings from this process until then.
+  TimePoint paused_until;
+  // What its agent has to be told of the server has changed since the last
+  // query.
+  bool orders_changed = false;
 };
 
 class ServerTable {
@@ -68,6 +79,10 @@
                    const FlowNotice& notice,
                    std::vector<FlowEvent>& events);
 
+  // Marks the entries of the servers in these zones, and no others, as
+  // evacuated.
+  void SetEvacuatedZones(TimePoint now, const std::set<std::string>& zones);
+
   // Records that an opening was sent to `entry`.
   static void NotePlaced(ServerEntry& entry) { ++entry.placed; }
 
@@ -109,8 +124,11 @@
                  const ServerEntry& changed,
                  std::vector<FlowEvent>& events);
   void RebuildIndexes();
+  // Sets whether the zone of `entry` is evacuated.
+  void UpdateEvacuation(TimePoint now, ServerEntry& entry) const;
 
   Entries entries;
+  std::set<std::string> evacuated_zones;
   // Indexes of the entries that are not superseded.
   std::unordered_map<std::uint64_t, std::vector<ServerKey>> by_service;
   std::unordered_map<std::uint32_t, std::vector<ServerKey>> by_host;
@@ -122,6 +140,10 @@
 // because those do not come back.
 bool IsDead(TimePoint now, const ServerEntry& entry);
 
+// True if the zone of the server is evacuated, as far as this process or the
+// server's agent knows.
+bool IsEvacuated(const ServerEntry& entry);
+
 bool AcceptsNewFlows(TimePoint now, const ServerEntry& entry);
 
 }  // namespace cactuscross
--- a/src/core/flow/view/store_view.cc
+++ b/src/core/flow/view/store_view.cc
@@ -21,8 +21,11 @@
 
 }  // namespace
 
-StoreView::StoreView(std::uint64_t seed, Duration flow_max_age)
+StoreView::StoreView(std::uint64_t seed,
+                     Duration flow_max_age,
+                     bool uses_zone_orders)
     : flow_max_age(flow_max_age),
+      uses_zone_orders(uses_zone_orders),
       route_reader(StoreSubject::kRoutes, seed),
       server_reader(StoreSubject::kServers, ~seed) {}
 
@@ -32,6 +35,8 @@
   for (const StoreAnswer& answer : answers) {
     this->Apply(now, answer, outbox.events);
   }
+  this->zone_orders.Expire(now, outbox.events);
+  this->UpdateEvacuatedZones(now);
   this->servers.Expire(now, this->flow_max_age);
   for (StoreReader* reader : {&this->route_reader, &this->server_reader}) {
     if (!this->reading) {
@@ -51,7 +56,7 @@
     // the readers could continue to watch.
     this->route_reader.StartOver();
     this->server_reader.StartOver();
-    this->listed.clear();
+    this->ClearListed();
   }
   this->reading = reading;
 }
@@ -85,6 +90,18 @@
   this->servers.UnlistEarlierEras(now, this->Version().servers, events);
 }
 
+void StoreView::ApplyPeerZoneOrders(TimePoint now,
+                                    const std::vector<ZoneOrder>& orders,
+                                    std::vector<FlowEvent>& events) {
+  if (!this->uses_zone_orders) {
+    return;
+  }
+  for (const ZoneOrder& order : orders) {
+    this->zone_orders.ApplyFromPeer(now, order, this->OrdersReadPosition(),
+                                    events);
+  }
+}
+
 ViewVersion StoreView::Version() const {
   ViewVersion view_version;
   view_version.routes_version = this->routes.Version();
@@ -98,6 +115,13 @@
   return {this->servers_era, this->server_reader.CompleteRevision()};
 }
 
+StorePosition StoreView::OrdersReadPosition() const {
+  return this->uses_zone_orders
+             ? StorePosition{this->routes_era,
+                             this->route_reader.CompleteRevision()}
+             : StorePosition();
+}
+
 TimePoint StoreView::ConfirmedAt() const {
   return std::min(this->route_reader.ConfirmedAt(),
                   this->server_reader.ConfirmedAt());
@@ -132,7 +156,7 @@
       // What changed since the copy was made is not in its history.
       this->route_reader.StartOver();
       this->server_reader.StartOver();
-      this->listed.clear();
+      this->ClearListed();
       FlowEvent event;
       event.kind = FlowEventKind::kStoreRestored;
       event.version = this->era;
@@ -180,6 +204,7 @@
       answer.status == StoreStatus::kOk) {
     this->ApplyServers(now, answer, events);
   }
+  this->ApplyZoneOrders(now, answer, events);
 }
 
 void StoreView::ApplyServers(TimePoint now,
@@ -201,4 +226,46 @@
   }
 }
 
+void StoreView::ApplyZoneOrders(TimePoint now,
+                                const StoreAnswer& answer,
+                                std::vector<FlowEvent>& events) {
+  if (!this->uses_zone_orders || answer.subject != StoreSubject::kRoutes) {
+    return;
+  }
+  if (answer.status == StoreStatus::kHistoryLost ||
+      answer.status == StoreStatus::kMalformed) {
+    this->listed_zones.clear();  // the list starts again
+  }
+  if (answer.status != StoreStatus::kOk) {
+    return;
+  }
+  for (ZoneOrder order : answer.zone_orders) {
+    order.position.era = this->era;
+    this->zone_orders.Apply(order, events);
+    if (answer.kind == StoreCallKind::kList) {
+      this->listed_zones.push_back(order.zone);
+    }
+  }
+  if (this->route_reader.FinishedList()) {
+    this->routes_era = this->era;
+    this->zone_orders.FinishList(now, this->listed_zones,
+                                 {this->era, this->route_reader.ListRevision()},
+                                 events);
+    this->listed_zones.clear();
+  }
+}
+
+void StoreView::UpdateEvacuatedZones(TimePoint now) {
+  if (this->applied_orders == this->zone_orders.ChangeCount()) {
+    return;
+  }
+  this->applied_orders = this->zone_orders.ChangeCount();
+  this->servers.SetEvacuatedZones(now, this->zone_orders.EvacuatedZones());
+}
+
+void StoreView::ClearListed() {
+  this->listed.clear();
+  this->listed_zones.clear();
+}
+
 }  // namespace cactuscross
--- a/src/core/flow/view/store_view.h
+++ b/src/core/flow/view/store_view.h
@@ -11,14 +11,18 @@
 #include "src/core/flow/view/route_set.h"
 #include "src/core/flow/view/server_table.h"
 #include "src/core/flow/view/store_reader.h"
+#include "src/core/flow/view/zone_orders.h"
 
 namespace cactuscross {
 
 class StoreView {
  public:
   // `flow_max_age`: maximum lifetime of a flow. Unlisted servers are retained,
-  // and queried by searches, for this time.
-  StoreView(std::uint64_t seed, Duration flow_max_age);
+  // and queried by searches, for this time. `uses_zone_orders`: orders to
+  // evacuate zones are in the answers for routes, and are in force.
+  StoreView(std::uint64_t seed,
+            Duration flow_max_age,
+            bool uses_zone_orders = false);
 
   // Applies answers and requests the next calls.
   void Tick(TimePoint now,
@@ -42,6 +46,11 @@
                         const StorePosition& position,
                         std::vector<FlowEvent>& events);
 
+  // Applies the orders to evacuate zones that a peer knows.
+  void ApplyPeerZoneOrders(TimePoint now,
+                           const std::vector<ZoneOrder>& orders,
+                           std::vector<FlowEvent>& events);
+
   // True once routes and servers are both completely loaded.
   bool IsLoaded() const { return this->Version().loaded; }
   // Version of the view, for comparison with peers.
@@ -50,6 +59,11 @@
   // the epoch: never.
   TimePoint ConfirmedAt() const;
 
+  const ZoneOrders& Orders() const { return this->zone_orders; }
+  // Position up to which this process has read all orders to evacuate zones;
+  // revision 0: none.
+  StorePosition OrdersReadPosition() const;
+
   const ActiveRoutes& Routes() const { return this->routes; }
   ServerTable& Servers() { return this->servers; }
   const ServerTable& Servers() const { return this->servers; }
@@ -68,18 +82,30 @@
   void ApplyServers(TimePoint now,
                     const StoreAnswer& answer,
                     std::vector<FlowEvent>& events);
+  void ApplyZoneOrders(TimePoint now,
+                       const StoreAnswer& answer,
+                       std::vector<FlowEvent>& events);
+  // Applies changed orders to the servers of their zones.
+  void UpdateEvacuatedZones(TimePoint now);
+  // Forgets the entries of the lists being read, because they are read again.
+  void ClearListed();
 
   const Duration flow_max_age;
+  const bool uses_zone_orders;
   ActiveRoutes routes;
   ServerTable servers;
   StoreReader route_reader;
   StoreReader server_reader;
-  std::vector<ServerKey> listed;  // entries of the list being read
+  ZoneOrders zone_orders;
+  std::uint64_t applied_orders = 0;  // change count of the orders at servers
+  std::vector<ServerKey> listed;     // entries of the list being read
+  std::vector<std::string> listed_zones;  // orders of the list being read
   bool reading = true;
   // Position of the store up to which peers have supplied the servers.
   StorePosition peer_position;
   std::uint64_t era = 0;          // highest known era of the store; 0: unknown
   std::uint64_t servers_era = 0;  // of the last complete list of servers
+  std::uint64_t routes_era = 0;   // of the last complete list of routes
   bool era_missing = false;       // in the last answer
 };
 
--- a/src/core/flow/view/view_gossip.cc
+++ b/src/core/flow/view/view_gossip.cc
@@ -156,6 +156,7 @@
   }
   this->readers_changed =
       this->election.Note(this->now, digest.readers) || this->readers_changed;
+  view.ApplyPeerZoneOrders(this->now, digest.zone_orders, this->outbox->events);
   this->UpdatePullTarget(digest, view);
   this->NoteConfirmation(digest, view);
 }
@@ -244,12 +245,14 @@
   if (!pull.view_version.loaded ||
       pull.view_version.routes_version < view_version.routes_version) {
     reply.kind = GossipKind::kRoutes;
+    reply.warmup_limits = view.Routes().WarmupLimits();
     this->SendInParts(pull.sender, reply, &GossipMessage::routes,
                       view.Routes().All(), kRoutesPerPart);
   }
   if (!pull.view_version.loaded ||
       pull.view_version.servers < view_version.servers) {
     reply.kind = GossipKind::kServers;
+    reply.warmup_limits.clear();
     reply.after =
         pull.view_version.loaded ? pull.view_version.servers : StorePosition();
     this->SendInParts(pull.sender, reply, &GossipMessage::servers,
@@ -266,6 +269,7 @@
   RouteSet routes;
   routes.version = this->routes.view_version.routes_version;
   routes.routes = std::move(this->routes.routes);
+  routes.warmup_limits = std::move(this->routes.warmup_limits);
   view.ApplyRoutes(routes, "peer", this->outbox->events);
   this->NoteConfirmation(this->routes, view);
   this->routes_parts.clear();
@@ -295,6 +299,7 @@
   const Duration since = this->now - this->digest_at;
   const bool changed = IsNewer(view_version, this->advertised) ||
                        this->readers_changed ||
+                       view.Orders().ChangeCount() != this->advertised_orders ||
                        view.ConfirmedAt() != this->advertised_answer_at;
   if (this->own_control.port == 0 || since < kMinDigestInterval ||
       (!changed && since < kDigestInterval)) {
@@ -302,6 +307,7 @@
   }
   this->digest_at = this->now;
   this->advertised = view_version;
+  this->advertised_orders = view.Orders().ChangeCount();
   this->advertised_answer_at = view.ConfirmedAt();
   this->readers_changed = false;
   const GossipMessage digest = this->MakeDigest(view);
@@ -319,6 +325,7 @@
   digest.age =
       this->now - std::max(view.ConfirmedAt(), this->peer_confirmed_at);
   digest.readers = this->election.DesignatedReaders(this->now);
+  digest.zone_orders = view.Orders().ForDigest();
   digest.peers = this->peers.LivePeers(this->now, kPeersInDigest);
   return digest;
 }
--- a/src/core/flow/view/view_gossip.h
+++ b/src/core/flow/view/view_gossip.h
@@ -79,6 +79,7 @@
   StoreReaderElection election;
   TimePoint digest_at;
   ViewVersion advertised;  // version of the view in the last digests
+  std::uint64_t advertised_orders = 0;  // change count of the orders in them
   // Own contact with the store, as in the last digests.
   TimePoint advertised_answer_at;
   bool readers_changed = false;  // since the last digests
--- a/src/shell/flow/flow_adapter.h
+++ b/src/shell/flow/flow_adapter.h
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include "cactuscross/flow_settings.h"
 #include "cactuscross/flow_types.h"
 #include "cactuscross/flow_view.h"
 
@@ -46,7 +47,8 @@
 
 struct FlowAdapter {
   std::unique_ptr<FlowPacketCodec> codec;
-  std::unique_ptr<FlowStore> (*open_store)(const Endpoint& address);
+  std::unique_ptr<FlowStore> (*open_store)(
+      const FlowBalancerSettings& settings);
   std::string_view readiness_path;
 };
 
--- a/src/shell/flow/flow_log.cc
+++ b/src/shell/flow/flow_log.cc
@@ -21,6 +21,9 @@
   if (!event.server.empty()) {
     fields["server"] = event.server;
   }
+  if (!event.zone.empty()) {
+    fields["zone"] = event.zone;
+  }
   if (!event.reason.empty()) {
     fields["reason"] = event.reason;
   }
--- a/src/shell/flow/run_flow_balancer.cc
+++ b/src/shell/flow/run_flow_balancer.cc
@@ -24,7 +24,7 @@
         control(settings.control.port == 0
                     ? std::nullopt
                     : std::optional<UdpSocket>(OpenSocket(settings.control))),
-        store(adapter.open_store(settings.store)) {}
+        store(adapter.open_store(settings)) {}
 
   // Returns whether the process continues.
   bool RunOnce() {
--- a/tests/support/flow_simulation.cc
+++ b/tests/support/flow_simulation.cc
@@ -172,6 +172,14 @@
   this->impl->PutRoutes();
 }
 
+void FlowSimulation::SetEvacuated(std::size_t zone, bool evacuated) {
+  this->impl->PutZoneOrder("z" + std::to_string(zone), evacuated);
+}
+
+void FlowSimulation::IsolateBalancer(std::size_t index, bool isolated) {
+  this->impl->balancers[index].isolated = isolated;
+}
+
 std::uint64_t FlowSimulation::StoreCalls() const {
   return this->impl->store_calls;
 }
@@ -184,7 +192,22 @@
 }
 
 TimePoint FlowSimulation::LastOpeningAt(std::size_t server) const {
-  return this->impl->servers[server].last_opening_at;
+  const std::vector<TimePoint>& openings = this->impl->servers[server].openings;
+  return openings.empty() ? TimePoint() : openings.back();
+}
+
+std::size_t FlowSimulation::MaxOpeningsPerSecond(std::size_t server,
+                                                 TimePoint since) const {
+  const std::vector<TimePoint>& openings = this->impl->servers[server].openings;
+  std::size_t most = 0;
+  auto first = std::lower_bound(openings.begin(), openings.end(), since);
+  for (auto last = first; last != openings.end(); ++last) {
+    while (*last - *first > std::chrono::seconds(1)) {
+      ++first;
+    }
+    most = std::max(most, static_cast<std::size_t>(last - first) + 1);
+  }
+  return most;
 }
 
 std::uint64_t FlowSimulation::EventCount(FlowEventKind kind) const {
--- a/tests/support/flow_simulation.h
+++ b/tests/support/flow_simulation.h
@@ -46,6 +46,12 @@
   std::vector<FlowRequestConfig> requests;
   // The store has no routes until this time after the start.
   Duration routes_delay{0};
+  // Settings of the processes; 0: no evacuations, no bound for warm-up.
+  Duration evacuation_bound{0};
+  double warmup_overshoot = 0;
+  double warmup_slack = 0;
+  // Limit of each service in the routes; 0: none.
+  double warmup_openings_per_second = 0;
 };
 
 // Example deployment, the Workshop Association: two services, with its request
@@ -117,12 +123,21 @@
   void SetEntryRemoved(std::size_t index, bool removed);
   void PutRoute(std::uint16_t port, const std::string& service);
   void RemoveRoute(std::uint16_t port);
+  // The operator orders the evacuation of a zone, or withdraws the order.
+  // Server i and balancer i are in zone i modulo the number of zones.
+  void SetEvacuated(std::size_t zone, bool evacuated);
+  // Cuts a balancer off from the store and from the other balancers, or
+  // connects it again.
+  void IsolateBalancer(std::size_t index, bool isolated);
   std::uint64_t StoreCalls() const;
 
   // Returns whether all running balancers are ready.
   bool AllReady() const;
   // Returns when the server last received the opening packet of a flow.
   TimePoint LastOpeningAt(std::size_t server) const;
+  // Returns the maximum number of opening packets that the server received in
+  // any second since `since`.
+  std::size_t MaxOpeningsPerSecond(std::size_t server, TimePoint since) const;
   // Returns how many events of `kind` processes have reported since the start.
   std::uint64_t EventCount(FlowEventKind kind) const;
 
--- a/tests/support/flow_simulation_impl.h
+++ b/tests/support/flow_simulation_impl.h
@@ -55,7 +55,7 @@
     std::map<std::uint64_t, Flow> flows;  // by PackFlow()
     std::deque<std::function<void()>> queue;
     std::uint32_t running = 0;
-    TimePoint last_opening_at;        // last opening packet received
+    std::vector<TimePoint> openings;  // when opening packets were received
     std::uint64_t report_number = 0;  // of the last store entry
     bool removed = false;             // the host has failed and does not return
 
@@ -71,6 +71,7 @@
     int consecutive_failures = 0;  // of readiness checks
     bool in_rotation = false;      // routers send packets to it
     bool stopping = false;
+    bool isolated = false;  // from the store and the other balancers
     std::uint64_t start_count = 0;
     double bytes_per_second = 0;  // of the link, each direction; 0: unlimited
     std::array<TimePoint, 2> link_free_at{};  // by LinkDirection
@@ -89,6 +90,13 @@
     std::uint64_t version = 0;
     TimePoint written_at;
     std::map<std::uint16_t, std::string> routes;
+    std::uint64_t revision = 0;
+  };
+
+  // An order of the operator for a zone.
+  struct ZoneEntry {
+    ZoneOrder order;
+    TimePoint written_at;
   };
 
   // A request of a client with all its attempts.
@@ -148,6 +156,11 @@
                     TimePoint call_started_at,
                     const StoreReply& reply);
   StoreAnswer MakeStoreAnswer(const StoreCall& call) const;
+  void AddOperatorEntries(const StoreCall& call, StoreAnswer& answer) const;
+  RouteSet MakeRoutes() const;
+  // Orders in the store, the newest of each zone.
+  std::map<std::string, ZoneOrder> CurrentOrders() const;
+  void PutZoneOrder(const std::string& zone, bool evacuated);
   void PutEntry(std::size_t index, bool removed);
   void PutRoutes();
   void RestoreStore(Duration copy_age);
@@ -179,6 +192,7 @@
   std::uint64_t history_start_revision = 0;
   std::uint64_t store_era = 1;
   std::vector<RoutesEntry> routes_history;  // in order of version
+  std::vector<ZoneEntry> zone_history;      // in order of revision
   bool store_down = false;
   bool store_silent = false;
   std::uint64_t store_calls = 0;
--- a/tests/support/flow_simulation_processes.cc
+++ b/tests/support/flow_simulation_processes.cc
@@ -71,6 +71,9 @@
   settings.node.name = "b" + std::to_string(index);
   settings.node.zone = "z" + std::to_string(balancer.zone);
   settings.node.data = {balancer.host, 1};
+  settings.node.evacuation_bound = this->config.evacuation_bound;
+  settings.node.warmup_overshoot = this->config.warmup_overshoot;
+  settings.node.warmup_slack = this->config.warmup_slack;
   settings.control = {balancer.host, 3};
   settings.seeds = {{kBalancerNetwork + 1, 3}, {kBalancerNetwork + 2, 3}};
   balancer.core = std::make_unique<FlowBalancer>(
@@ -84,7 +87,10 @@
   Server& server = this->servers[index];
   FlowAgentSettings settings;
   settings.node.name = "a" + std::to_string(index);
+  settings.node.zone = "z" + std::to_string(index % this->config.zones);
   settings.node.data = {server.host, 1};
+  settings.node.warmup_overshoot = this->config.warmup_overshoot;
+  settings.node.warmup_slack = this->config.warmup_slack;
   settings.service = this->config.services[server.service].name;
   settings.server = {server.host, 2};
   server.agent = std::make_unique<FlowAgent>(settings);
@@ -205,7 +211,8 @@
   }
   for (OutgoingGossip& outgoing : outbox.gossip) {
     for (std::size_t i = 0; i < this->balancers.size(); ++i) {
-      if (this->balancers[i].host != outgoing.destination.address) {
+      if (this->balancers[i].host != outgoing.destination.address ||
+          this->balancers[i].isolated || balancer.isolated) {
         continue;
       }
       link.Send(own_end, LinkEnd{outgoing.destination.address},
--- a/tests/support/flow_simulation_servers.cc
+++ b/tests/support/flow_simulation_servers.cc
@@ -21,7 +21,7 @@
   const std::uint64_t id = PackFlow(header.flow);
   const auto found = server.flows.find(id);
   if (header.opening) {
-    server.last_opening_at = this->simulation.link.Now();
+    server.openings.push_back(this->simulation.link.Now());
     const auto route = this->routes.find(header.flow.service_address.port);
     if (route != this->routes.end() &&
         route->second != this->config.services[server.service].name) {
--- a/tests/support/flow_simulation_store.cc
+++ b/tests/support/flow_simulation_store.cc
@@ -41,9 +41,23 @@
 
 void FlowSimulation::Impl::PutRoutes() {
   this->routes_version = ++this->written_version;
-  ++this->revision;
-  this->routes_history.push_back(
-      {this->routes_version, this->simulation.link.Now(), this->routes});
+  this->routes_history.push_back({this->routes_version,
+                                  this->simulation.link.Now(), this->routes,
+                                  ++this->revision});
+}
+
+void FlowSimulation::Impl::PutZoneOrder(const std::string& zone,
+                                        bool evacuated) {
+  this->zone_history.push_back(
+      {{zone, evacuated, {0, ++this->revision}}, this->simulation.link.Now()});
+}
+
+std::map<std::string, ZoneOrder> FlowSimulation::Impl::CurrentOrders() const {
+  std::map<std::string, ZoneOrder> current;
+  for (const ZoneEntry& entry : this->zone_history) {
+    current[entry.order.zone] = entry.order;
+  }
+  return current;
 }
 
 void FlowSimulation::Impl::RestoreStore(Duration copy_age) {
@@ -59,9 +73,20 @@
       std::remove_if(this->routes_history.begin() + 1,
                      this->routes_history.end(), is_lost),
       this->routes_history.end());
-  const RoutesEntry newest{this->written_version, link.Now(), this->routes};
+  const std::map<std::string, ZoneOrder> newest_orders = this->CurrentOrders();
+  this->zone_history.erase(std::remove_if(this->zone_history.begin(),
+                                          this->zone_history.end(), is_lost),
+                           this->zone_history.end());
+  RoutesEntry newest{this->written_version, link.Now(), this->routes, 0};
   this->routes_version = this->routes_history.back().version;
-  this->revision = this->history.empty() ? 1 : this->history.back().revision;
+  this->revision = this->routes_history.back().revision;
+  if (!this->history.empty()) {
+    this->revision = std::max(this->revision, this->history.back().revision);
+  }
+  if (!this->zone_history.empty()) {
+    this->revision = std::max(
+        this->revision, this->zone_history.back().order.position.revision);
+  }
   this->history_start_revision =
       std::min(this->history_start_revision, this->revision);
   ++this->store_era;
@@ -74,11 +99,17 @@
                     }
                   });
   }
-  link.Schedule(kOperatorWritesAgain, [this, newest] {
+  link.Schedule(kOperatorWritesAgain, [this, newest, newest_orders]() mutable {
     if (this->routes_version < newest.version) {
       this->routes_version = newest.version;
+      newest.revision = ++this->revision;
       this->routes_history.push_back(newest);
     }
+    for (const auto& [zone, order] : newest_orders) {
+      if (this->CurrentOrders()[zone].evacuated != order.evacuated) {
+        this->PutZoneOrder(zone, order.evacuated);
+      }
+    }
   });
 }
 
@@ -87,9 +118,14 @@
   ++this->store_calls;
   const std::uint64_t start_count = this->balancers[balancer].start_count;
   const TimePoint call_started_at = this->simulation.link.Now();
-  const bool answered = !this->store_down;
+  const bool answered =
+      !this->store_down && !this->balancers[balancer].isolated;
   const StoreReply reply = [this, balancer, start_count](StoreAnswer answer) {
     if (this->balancers[balancer].start_count == start_count) {
+      if (this->balancers[balancer].isolated) {
+        answer.status = StoreStatus::kFailed;
+        answer.era.reset();
+      }
       FlowBalancerInbox inbox;
       inbox.store_answers.push_back(std::move(answer));
       this->TickBalancer(balancer, std::move(inbox));
@@ -120,6 +156,7 @@
   const bool keeps_waiting =
       call.kind == StoreCallKind::kWatch && answer.status == StoreStatus::kOk &&
       answer.servers.empty() && answer.routes.empty() &&
+      answer.zone_orders.empty() &&
       this->simulation.link.Now() - call_started_at < call.wait;
   if (keeps_waiting && !this->store_down) {
     this->simulation.link.Schedule(
@@ -145,30 +182,13 @@
   answer.revision = this->revision;
   answer.era = this->store_era;
   const bool list = call.kind == StoreCallKind::kList;
-  const std::uint64_t newest_revision = call.subject == StoreSubject::kRoutes
-                                            ? this->routes_version
-                                            : this->revision;
-  const bool is_compacted = call.subject == StoreSubject::kServers &&
-                            call.after_revision < this->history_start_revision;
-  if (!list && (is_compacted || call.after_revision > newest_revision)) {
+  const bool is_compacted = call.after_revision < this->history_start_revision;
+  if (!list && (is_compacted || call.after_revision > this->revision)) {
     answer.status = StoreStatus::kHistoryLost;
     return answer;
   }
   if (call.subject == StoreSubject::kRoutes) {
-    if (this->routes_version > 0 &&
-        (list || call.after_revision < this->routes_version)) {
-      RouteSet routes;
-      routes.version = this->routes_version;
-      for (const auto& [port, service] : this->routes_history.back().routes) {
-        FlowRoute& route = routes.routes.emplace_back();
-        route.service_address = {kRouteAddress, port};
-        route.services = {{MakeServiceId(service), 1}};
-      }
-      answer.routes.push_back(std::move(routes));
-    }
-    // Watches of routes continue from the version of the routes, not from the
-    // revision of the store.
-    answer.revision = this->routes_version;
+    this->AddOperatorEntries(call, answer);
     return answer;
   }
   std::map<std::string, const StoreEntry*> newest;
@@ -189,4 +209,40 @@
   return answer;
 }
 
+RouteSet FlowSimulation::Impl::MakeRoutes() const {
+  RouteSet routes;
+  routes.version = this->routes_version;
+  for (const auto& [port, service] : this->routes_history.back().routes) {
+    FlowRoute& route = routes.routes.emplace_back();
+    route.service_address = {kRouteAddress, port};
+    route.services = {{MakeServiceId(service), 1}};
+  }
+  if (this->config.warmup_openings_per_second > 0) {
+    for (const FlowServiceConfig& service : this->config.services) {
+      routes.warmup_limits.push_back({MakeServiceId(service.name),
+                                      this->config.warmup_openings_per_second,
+                                      kWarmupTime});
+    }
+  }
+  return routes;
+}
+
+void FlowSimulation::Impl::AddOperatorEntries(const StoreCall& call,
+                                              StoreAnswer& answer) const {
+  const bool list = call.kind == StoreCallKind::kList;
+  if (!this->routes_history.empty() &&
+      (list || this->routes_history.back().revision > call.after_revision)) {
+    answer.routes.push_back(this->MakeRoutes());
+  }
+  if (this->config.evacuation_bound == Duration{0}) {
+    return;  // the prefix of the calls does not include the orders
+  }
+  for (const auto& [zone, order] : this->CurrentOrders()) {
+    if (list ? order.evacuated
+             : order.position.revision > call.after_revision) {
+      answer.zone_orders.push_back(order);
+    }
+  }
+}
+
 }  // namespace cactuscross::testing
