--- a/src/core/flow/view/route_set.cc
+++ b/src/core/flow/view/route_set.cc
@@ -1,5 +1,6 @@
 #include "src/core/flow/view/route_set.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "src/core/flow/common/flow_hash.h"
@@ -16,6 +17,9 @@
   }
   if (is_newer) {
     this->Replace(now, routes);
+  } else if (this->warmup_limits.empty()) {
+    // A peer of a version without limits may have supplied these routes.
+    this->warmup_limits = routes.warmup_limits;
   }
   for (const FlowRoute& route : routes.routes) {
     this->former.Merge(now, route);
@@ -26,6 +30,7 @@
 void ActiveRoutes::Replace(TimePoint now, const RouteSet& routes) {
   this->loaded = true;
   this->version = routes.version;
+  this->warmup_limits = routes.warmup_limits;
   const auto previous = std::exchange(this->routes, {});
   for (const FlowRoute& route : routes.routes) {
     FlowRoute& added = this->routes[route.service_address];
@@ -47,6 +52,13 @@
   return found == this->routes.end() ? nullptr : &found->second;
 }
 
+const WarmupLimit* ActiveRoutes::FindWarmupLimit(ServiceId service) const {
+  const auto found = std::find_if(
+      this->warmup_limits.begin(), this->warmup_limits.end(),
+      [service](const WarmupLimit& limit) { return limit.service == service; });
+  return found == this->warmup_limits.end() ? nullptr : &*found;
+}
+
 std::vector<FlowRoute> ActiveRoutes::All(TimePoint now) const {
   std::vector<FlowRoute> all;
   all.reserve(this->routes.size());
--- a/src/core/flow/view/route_set.h
+++ b/src/core/flow/view/route_set.h
@@ -29,6 +29,12 @@
   std::size_t Size() const { return this->routes.size(); }
   // All routes with their former services, for a peer.
   std::vector<FlowRoute> All(TimePoint now) const;
+  const std::vector<WarmupLimit>& WarmupLimits() const {
+    return this->warmup_limits;
+  }
+  // Limit of the servers of `service` while they warm up; null if there is
+  // none. Valid until the next Apply().
+  const WarmupLimit* FindWarmupLimit(ServiceId service) const;
 
   // Route for `address`; null if there is none. Valid until the next Apply().
   const FlowRoute* Find(const Endpoint& address) const;
@@ -49,6 +55,7 @@
   std::uint64_t version = 0;
   std::unordered_map<Endpoint, FlowRoute, EndpointHash> routes;
   FormerServices former;
+  std::vector<WarmupLimit> warmup_limits;
 };
 
 // Selects the service of a new flow in proportion to the weights. The result is
