Searches look up flows by key, many in a datagram

Cause: for each packet of a flow that was lost, a balancer sent the whole packet to all servers before it could reset the flow. After a loss of all power this kept links of 10 Mbit/s saturated for seconds.

Change: LookupBatcher collects the flows to look up at each agent. At most one lookup datagram to an agent is in flight, at least 20 ms apart; the congestion window and the response timeout still apply. Candidates are queried in batches of 3, 16 and all that are left. The agent answers from its flow table; where only a packet can tell, the search sends the packet as before. An agent that is alive but leaves two lookups in a row unanswered (three, if it has answered any) is queried by packet for 10 s, as agents of the previous version do not answer lookups. An opening packet ends the search for its flow: denials from before it could reset the flow that it opens. This also applies with batched_lookup off.

--- a/include/cactuscross/flow_agent.h
+++ b/include/cactuscross/flow_agent.h
@@ -28,7 +28,7 @@
 struct FlowAgentInbox {
   std::vector<FlowPacket> from_balancers;
   std::vector<FlowPacket> from_server;
-  std::vector<FlowNotice> notices;  // from balancers, kQuery only
+  std::vector<FlowNotice> notices;  // from balancers: kQuery, kLookup
   ProbeResult probe = ProbeResult::kNone;
   bool stop_requested = false;
 };
--- a/src/core/flow/agent/flow_agent.cc
+++ b/src/core/flow/agent/flow_agent.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "src/core/common/metric_set.h"
+#include "src/core/flow/agent/flow_lookup.h"
 #include "src/core/flow/agent/server_flows.h"
 #include "src/core/flow/agent/server_health_check.h"
 
@@ -50,6 +51,7 @@
  private:
   // The steps of a tick, in their order.
   void ReadQueries(const std::vector<FlowNotice>& notices);
+  void ReadLookups(const std::vector<FlowNotice>& notices);
   void ReadFromServer(const std::vector<FlowPacket>& packets);
   void ReadFromBalancers(const std::vector<FlowPacket>& packets);
   void CheckServer(ProbeResult probe);
@@ -59,6 +61,8 @@
   void OnOpening(const FlowPacket& packet);
   void OnNonOpening(const FlowPacket& packet);
   void OnUnknownFlow(const FlowPacket& packet);
+  // Whether the server does not hold `flow`, which is not in the flow table.
+  bool IsKnownNotToHold(const FlowKey& flow) const;
 
   void SendToServer(const FlowPacket& packet);
   void Notify(std::uint32_t balancer,
@@ -105,6 +109,7 @@
   // flows that the server accepts in this tick.
   this->ReadFromServer(inbox.from_server);
   this->ReadFromBalancers(inbox.from_balancers);
+  this->ReadLookups(inbox.notices);
   this->CheckServer(inbox.probe);
   this->flows.Expire(now);
   if (inbox.stop_requested) {
@@ -134,6 +139,27 @@
   }
 }
 
+void FlowAgent::Impl::ReadLookups(const std::vector<FlowNotice>& notices) {
+  for (const FlowNotice& notice : notices) {
+    if (notice.kind != NoticeKind::kLookup) {
+      continue;
+    }
+    this->NoteBalancer(notice.sender);
+    const bool wrong_service = notice.service_tag != ServiceTag(this->service);
+    OutgoingNotice reply = this->MakeNotice(
+        notice.sender,
+        wrong_service ? NoticeKind::kWrongService : NoticeKind::kLookupReply);
+    reply.notice.lookups = notice.lookups;
+    for (FlowLookup& lookup : reply.notice.lookups) {
+      if (!wrong_service) {
+        lookup.result = LookUpFlow(this->flows.Find(lookup.flow),
+                                   this->IsKnownNotToHold(lookup.flow));
+      }
+    }
+    this->outbox.notices.push_back(std::move(reply));
+  }
+}
+
 void FlowAgent::Impl::ReadFromServer(const std::vector<FlowPacket>& packets) {
   if (!packets.empty()) {
     this->health_check.NoteReceived(this->now);
@@ -253,11 +279,7 @@
 }
 
 void FlowAgent::Impl::OnUnknownFlow(const FlowPacket& packet) {
-  const auto found = this->returned_flows.find(packet.flow);
-  const bool recently_returned =
-      found != this->returned_flows.end() &&
-      this->now - found->second < kReturnedFlowLifetime;
-  if (this->knows_all_flows || recently_returned) {
+  if (this->IsKnownNotToHold(packet.flow)) {
     this->NotifyNotHeld(packet.sender, packet);
     return;
   }
@@ -266,6 +288,14 @@
   this->SendToServer(packet);
 }
 
+bool FlowAgent::Impl::IsKnownNotToHold(const FlowKey& flow) const {
+  const auto found = this->returned_flows.find(flow);
+  const bool recently_returned =
+      found != this->returned_flows.end() &&
+      this->now - found->second < kReturnedFlowLifetime;
+  return this->knows_all_flows || recently_returned;
+}
+
 void FlowAgent::Impl::SendToServer(const FlowPacket& packet) {
   if (packet.opening || packet.data_bytes > 0) {
     this->health_check.NoteSent(this->now);
--- a/src/core/flow/balancer/flow_balancer.cc
+++ b/src/core/flow/balancer/flow_balancer.cc
@@ -49,7 +49,7 @@
         view(seed, settings.node.flow_max_age),
         gossip(settings),
         sender(this->settings),
-        searcher(view, gossip, sender, metrics) {}
+        searcher(view, gossip, sender, metrics, settings.batched_lookup) {}
 
   FlowBalancerOutbox Tick(TimePoint now, const FlowBalancerInbox& inbox);
   void SetSeeds(const std::vector<Endpoint>& seeds) {
@@ -75,6 +75,7 @@
   void OnSaturated(const FlowNotice& notice, ServerKey server);
   void OnHeld(const FlowNotice& notice, ServerKey server);
   void OnNotHeld(const FlowNotice& notice, ServerKey server);
+  void OnLookupReply(const FlowNotice& notice, ServerKey server);
 
   void OnPacket(const FlowPacket& packet, TimePoint arrived_at);
   void OnNoRoute(const FlowPacket& packet, TimePoint arrived_at);
@@ -154,6 +155,7 @@
           ServiceTag(entry.server.service) != notice.service_tag) {
         this->OnRefused(notice, key);
         this->OnNotHeld(notice, key);
+        this->OnLookupReply(notice, key);
       }
     }
     return;
@@ -180,6 +182,9 @@
     case NoticeKind::kNotHeld:
       this->OnNotHeld(notice, entry->key);
       break;
+    case NoticeKind::kLookupReply:
+      this->OnLookupReply(notice, entry->key);
+      break;
     default:
       break;
   }
@@ -257,6 +262,14 @@
   }
 }
 
+void FlowBalancer::Impl::OnLookupReply(const FlowNotice& notice,
+                                       ServerKey server) {
+  for (const FlowKey& flow :
+       this->searcher.NoteLookupReply(this->now, notice, server)) {
+    this->cache.Put(this->now, flow, server);
+  }
+}
+
 void FlowBalancer::Impl::ReadEarlyPackets() {
   if (this->early_packets.IsEmpty() || !this->view.IsLoaded()) {
     return;
@@ -331,7 +344,7 @@
                          Bytes(packet.bytes.begin(), packet.bytes.end()));
     return;
   }
-  this->searcher.ClearDenials(packet.flow);
+  this->searcher.Abandon(packet.flow);
   Opening* opening = this->openings.Add(packet.flow);
   if (opening == nullptr) {
     this->metrics.Count("flow_packets_dropped", "reason", "openings_full");
--- a/src/core/flow/search/flow_searcher.cc
+++ b/src/core/flow/search/flow_searcher.cc
@@ -23,10 +23,25 @@
 // 2 MB if each holds 47 servers.
 constexpr std::size_t kMaxDenials = 4096;
 
+// Agents send their load at least every 0.5 s. One that has sent a notice
+// within this time is alive.
+constexpr Duration kAliveTime{1500000};
+
 std::size_t QueryBytes(const FlowSearch& search) {
   return search.packets.front().size() + kIpUdpHeaderBytes;
 }
 
+std::string_view NameOf(LookupResult result) {
+  switch (result) {
+    case LookupResult::kHeld:
+      return "held";
+    case LookupResult::kNotHeld:
+      return "not_held";
+    default:
+      return "unknown";
+  }
+}
+
 }  // namespace
 
 bool FlowSearcher::BufferPacket(const FlowPacket& packet) {
@@ -56,11 +71,12 @@
   }
   AddPacket(*search, packet);
   search->last_acknowledgement = acknowledgement;
+  search->number = ++this->searches_begun;
   search->started_at = now;
   search->holder_denied = holder_denied;
   this->sender.Report(FlowEventKind::kSearching, flow).count =
       static_cast<std::uint32_t>(search->candidates.size());
-  this->QueryOrEnqueue(now, *search);
+  this->QueryNextBatch(now, *search);
 }
 
 std::vector<ServerKey> FlowSearcher::Candidates(TimePoint now,
@@ -90,20 +106,71 @@
                             ServerKey server) {
   this->denials.erase(notice.flow);
   FlowSearch* search = this->searches.Find(notice.flow);
-  if (search == nullptr) {
-    return;
+  if (search != nullptr) {
+    this->EndFound(now, *search, server);
   }
+}
+
+void FlowSearcher::EndFound(TimePoint now,
+                            FlowSearch& search,
+                            ServerKey server) {
   const ServerEntry* entry = this->view.Servers().Find(server);
-  FlowEvent& event = this->sender.Report(FlowEventKind::kFound, notice.flow);
+  FlowEvent& event = this->sender.Report(FlowEventKind::kFound, search.flow);
   event.server = entry == nullptr ? std::string() : entry->server.name;
-  event.count = static_cast<std::uint32_t>(search->queried);
-  event.age = now - search->started_at;
-  // The search itself has sent the first packet.
-  for (std::size_t i = 1; entry != nullptr && i < search->packets.size(); ++i) {
-    this->sender.Forward(*entry, MarkPurpose::kCached,
-                         std::move(search->packets[i]));
+  event.count = static_cast<std::uint32_t>(search.queried);
+  event.age = now - search.started_at;
+  const std::size_t first = search.WasSentPacket(server) ? 1 : 0;
+  // Erase() needs the size of the first packet.
+  std::vector<Bytes> packets = search.packets;
+  this->Erase(search);
+  for (std::size_t i = first; entry != nullptr && i < packets.size(); ++i) {
+    this->sender.Forward(*entry, MarkPurpose::kCached, std::move(packets[i]));
   }
-  this->Erase(*search);
+}
+
+std::vector<FlowKey> FlowSearcher::NoteLookupReply(TimePoint now,
+                                                   const FlowNotice& notice,
+                                                   ServerKey server) {
+  std::vector<FlowKey> held;
+  for (const LookupAnswer& answer : this->batcher.NoteReply(
+           server, notice.lookups, this->congestion_window)) {
+    const LookupResult result = notice.kind == NoticeKind::kWrongService
+                                    ? LookupResult::kNotHeld
+                                    : answer.result;
+    this->metrics.Count("flow_lookups", "result", NameOf(result));
+    FlowSearch* search = this->FindSearch(answer.target);
+    if (search == nullptr) {
+      continue;
+    }
+    if (result == LookupResult::kHeld) {
+      held.push_back(search->flow);
+      this->EndFound(now, *search, server);
+      continue;
+    }
+    const bool awaited = RemoveLookup(*search, server);
+    if (result == LookupResult::kNotHeld) {
+      NoteDenial(*search, server);
+    } else if (awaited) {
+      search->by_packet.push_back(server);
+    }
+    if (awaited && search->lookups.empty()) {
+      this->Advance(now, *search);
+    }
+  }
+  return held;
+}
+
+void FlowSearcher::Abandon(const FlowKey& flow) {
+  this->denials.erase(flow);
+  if (FlowSearch* search = this->searches.Find(flow)) {
+    this->Erase(*search);
+  }
+}
+
+FlowSearch* FlowSearcher::FindSearch(const LookupTarget& target) {
+  FlowSearch* search = this->searches.Find(target.flow);
+  return search != nullptr && search->number == target.search ? search
+                                                              : nullptr;
 }
 
 bool FlowSearcher::NoteNotHeld(TimePoint now,
@@ -117,71 +184,168 @@
     --search->outstanding;
     this->congestion_window.NoteAnswered(QueryBytes(*search));
   }
-  if (!search->waiting && search->AllAnswered()) {
-    this->FinishBatch(now, *search);
+  const bool answered =
+      this->batched_lookup ? search->outstanding == 0 : search->AllAnswered();
+  if (!search->waiting && answered) {
+    this->Advance(now, *search);
   }
   return true;
 }
 
 void FlowSearcher::ProcessTimeouts(TimePoint now, Duration response_timeout) {
+  this->ProcessLookupTimeouts(now, response_timeout);
   for (const FlowKey& flow : this->searches.TimedOut(now, response_timeout)) {
     FlowSearch& search = *this->searches.Find(flow);
     this->congestion_window.NoteTimeout(
         now, search.last_batch_size, search.outstanding,
         search.outstanding * QueryBytes(search));
     search.outstanding = 0;
-    this->FinishBatch(now, search);
+    this->Advance(now, search);
   }
   this->ProcessQueue(now);
+  this->SendLookups(now);
   this->ExpireDenials(now);
 }
 
-void FlowSearcher::FinishBatch(TimePoint now, FlowSearch& search) {
-  if (search.AllQueried()) {
+void FlowSearcher::ProcessLookupTimeouts(TimePoint now,
+                                         Duration response_timeout) {
+  for (const LookupDatagram& datagram : this->batcher.TakeTimedOut(
+           now, response_timeout, this->congestion_window)) {
+    const bool by_packet = this->IgnoresLookups(now, datagram);
+    this->metrics.Count("flow_lookups", "result", "timeout",
+                        datagram.targets.size());
+    for (const LookupTarget& target : datagram.targets) {
+      FlowSearch* search = this->FindSearch(target);
+      if (search == nullptr || !RemoveLookup(*search, datagram.server)) {
+        continue;
+      }
+      if (by_packet) {
+        search->by_packet.push_back(datagram.server);
+      }
+      if (search->lookups.empty()) {
+        this->Advance(now, *search);
+      }
+    }
+  }
+}
+
+bool FlowSearcher::IgnoresLookups(TimePoint now,
+                                  const LookupDatagram& timed_out) {
+  const ServerEntry* entry = this->view.Servers().Find(timed_out.server);
+  const bool alive = entry != nullptr && entry->agent_notice_received &&
+                     now - entry->last_agent_notice_at < kAliveTime;
+  if (alive) {
+    this->batcher.NoteIgnored(now, timed_out.server);
+  }
+  return this->batcher.IgnoresLookups(now, timed_out.server);
+}
+
+void FlowSearcher::Advance(TimePoint now, FlowSearch& search) {
+  search.waiting = false;
+  if (!search.by_packet.empty()) {
+    this->SendOrEnqueue(now, search);
+  } else if (search.AllQueried()) {
     this->Finish(now, search);
   } else {
-    this->QueryOrEnqueue(now, search);
+    this->QueryNextBatch(now, search);
   }
 }
 
-void FlowSearcher::QueryOrEnqueue(TimePoint now, FlowSearch& search) {
-  const std::size_t bytes = NextBatchSize(search) * QueryBytes(search);
+void FlowSearcher::QueryNextBatch(TimePoint now, FlowSearch& search) {
+  const std::size_t end =
+      search.queried + NextBatchSize(search, this->batched_lookup);
+  for (; search.queried < end; ++search.queried) {
+    const ServerKey server = search.candidates[search.queried];
+    if (this->batched_lookup && !this->batcher.IgnoresLookups(now, server)) {
+      search.lookups.push_back(server);
+      this->batcher.Add(server, {search.flow, search.number});
+    } else {
+      search.by_packet.push_back(server);
+    }
+  }
+  if (search.lookups.empty()) {
+    this->SendOrEnqueue(now, search);
+  } else {
+    search.waiting = true;
+  }
+}
+
+void FlowSearcher::SendOrEnqueue(TimePoint now, FlowSearch& search) {
+  const std::size_t bytes = search.by_packet.size() * QueryBytes(search);
   if (this->queue.empty() && this->congestion_window.MaySend(bytes)) {
-    this->QueryNextBatch(now, search);
+    this->SendPackets(now, search);
     return;
   }
   search.waiting = true;
   this->queue.push_back(search.flow);
 }
 
-void FlowSearcher::QueryNextBatch(TimePoint now, FlowSearch& search) {
-  const std::size_t batch_size = NextBatchSize(search);
+void FlowSearcher::SendPackets(TimePoint now, FlowSearch& search) {
   search.sent_at = now;
   search.waiting = false;
-  search.last_batch_size = batch_size;
+  search.last_batch_size = search.by_packet.size();
   search.outstanding = 0;
-  for (std::size_t i = 0; i < batch_size; ++i) {
+  for (const ServerKey server : search.by_packet) {
     // A server may have been removed since the candidates were determined.
-    if (const ServerEntry* entry =
-            this->view.Servers().Find(search.candidates[search.queried + i])) {
+    if (const ServerEntry* entry = this->view.Servers().Find(server)) {
       this->sender.Forward(*entry, MarkPurpose::kSearch,
                            search.packets.front());
+      search.packet_servers.push_back(server);
       ++search.outstanding;
     }
   }
-  search.queried += batch_size;
+  search.by_packet.clear();
   this->congestion_window.NoteSent(search.outstanding * QueryBytes(search));
 }
 
+void FlowSearcher::SendLookups(TimePoint now) {
+  std::vector<LookupTarget> expired;
+  const auto is_wanted = [this, now, &expired](ServerKey server,
+                                               const LookupTarget& target) {
+    const FlowSearch* search = this->FindSearch(target);
+    if (search == nullptr || !search->AwaitsLookup(server)) {
+      return false;
+    }
+    if (now - search->started_at > kMaxQueueTime) {
+      expired.push_back(target);
+      return false;
+    }
+    return true;
+  };
+  for (const LookupDatagram& datagram :
+       this->batcher.TakeReady(now, this->congestion_window, is_wanted)) {
+    // If the server was removed meanwhile, the lookups time out.
+    const ServerEntry* entry = this->view.Servers().Find(datagram.server);
+    if (entry == nullptr) {
+      continue;
+    }
+    OutgoingNotice lookup;
+    lookup.host = entry->server.host;
+    lookup.notice.kind = NoticeKind::kLookup;
+    lookup.notice.service_tag = ServiceTag(entry->server.service);
+    for (const LookupTarget& target : datagram.targets) {
+      lookup.notice.lookups.push_back({target.flow, LookupResult::kUnknown});
+    }
+    this->sender.Outbox().notices.push_back(std::move(lookup));
+    this->metrics.Count("flow_lookup_datagrams");
+  }
+  for (const LookupTarget& target : expired) {
+    if (FlowSearch* search = this->FindSearch(target)) {
+      this->Finish(now, *search);
+    }
+  }
+}
+
 void FlowSearcher::ProcessQueue(TimePoint now) {
   while (!this->queue.empty()) {
     FlowSearch* search = this->searches.Find(this->queue.front());
-    if (search != nullptr && search->waiting) {
+    // Otherwise it has ended, or another one for the flow waits for lookups.
+    if (search != nullptr && search->waiting && search->lookups.empty()) {
       if (now - search->started_at > kMaxQueueTime) {
         this->Finish(now, *search);
-      } else if (this->congestion_window.MaySend(NextBatchSize(*search) *
+      } else if (this->congestion_window.MaySend(search->by_packet.size() *
                                                  QueryBytes(*search))) {
-        this->QueryNextBatch(now, *search);
+        this->SendPackets(now, *search);
       } else {
         return;
       }
@@ -242,6 +406,9 @@
     return;
   }
   this->next_expiry = now + kExpiryInterval;
+  this->batcher.Prune([this](ServerKey server) {
+    return this->view.Servers().Find(server) != nullptr;
+  });
   for (auto entry = this->denials.begin(); entry != this->denials.end();) {
     entry = now - entry->second.at > kDenialLifetime
                 ? this->denials.erase(entry)
--- a/src/core/flow/search/flow_searcher.h
+++ b/src/core/flow/search/flow_searcher.h
@@ -11,6 +11,7 @@
 
 #include "src/core/common/metric_set.h"
 #include "src/core/flow/forwarding/flow_sender.h"
+#include "src/core/flow/search/lookup_batcher.h"
 #include "src/core/flow/search/search_congestion_window.h"
 #include "src/core/flow/search/search_table.h"
 #include "src/core/flow/view/store_view.h"
@@ -20,11 +21,18 @@
 
 class FlowSearcher {
  public:
+  // `batched_lookup`: queries agents by the keys of flows, many in a datagram,
+  // instead of by a packet of each flow.
   FlowSearcher(StoreView& view,
                ViewGossip& gossip,
                FlowSender& sender,
-               MetricSet& metrics)
-      : view(view), gossip(gossip), sender(sender), metrics(metrics) {}
+               MetricSet& metrics,
+               bool batched_lookup)
+      : view(view),
+        gossip(gossip),
+        sender(sender),
+        metrics(metrics),
+        batched_lookup(batched_lookup) {}
 
   // Buffers a packet if a search for its flow is in progress; returns false if
   // none is.
@@ -46,12 +54,19 @@
   // for the flow is in progress.
   bool NoteNotHeld(TimePoint now, const FlowNotice& notice, ServerKey server);
 
-  // Drops the recorded denials of a flow that its client opens again, because
-  // they are out of date.
-  void ClearDenials(const FlowKey& flow) { this->denials.erase(flow); }
+  // The agent of `server` answered a lookup, or rejected it because its service
+  // is another one. Ends the searches that found their server and returns their
+  // flows.
+  std::vector<FlowKey> NoteLookupReply(TimePoint now,
+                                       const FlowNotice& notice,
+                                       ServerKey server);
+
+  // The client opens the flow again: drops its search and recorded denials. The
+  // answers to queries that are in flight are out of date.
+  void Abandon(const FlowKey& flow);
 
   // Continues or ends searches whose last queries were sent `response_timeout`
-  // ago, starts queued searches, and expires denials.
+  // ago, starts queued searches, sends lookups, and expires denials.
   void ProcessTimeouts(TimePoint now, Duration response_timeout);
 
   std::size_t Size() const { return this->searches.Size(); }
@@ -71,11 +86,25 @@
   // now first. If former services may be unknown, the servers of all other
   // services follow.
   std::vector<ServerKey> Candidates(TimePoint now, const FlowKey& flow) const;
-  // Queries the next batch of candidates, or queues the search while the
-  // congestion window is full.
-  void QueryOrEnqueue(TimePoint now, FlowSearch& search);
+  // Continues a search whose last queries are all answered or timed out: sends
+  // the packet to servers that can't be looked up, or queries the next batch of
+  // candidates, or finishes.
+  void Advance(TimePoint now, FlowSearch& search);
   void QueryNextBatch(TimePoint now, FlowSearch& search);
-  void FinishBatch(TimePoint now, FlowSearch& search);
+  // Sends the packet to `search.by_packet`, or queues the search while the
+  // congestion window is full.
+  void SendOrEnqueue(TimePoint now, FlowSearch& search);
+  void SendPackets(TimePoint now, FlowSearch& search);
+  // Sends the lookups that are due.
+  void SendLookups(TimePoint now);
+  void ProcessLookupTimeouts(TimePoint now, Duration response_timeout);
+  // True if the agent is alive but has not answered several lookups, so that it
+  // is assumed to be of a version that knows none.
+  bool IgnoresLookups(TimePoint now, const LookupDatagram& timed_out);
+  // The search that `target` belongs to; null if it has ended.
+  FlowSearch* FindSearch(const LookupTarget& target);
+  // Forwards the buffered packets to `server` and ends the search.
+  void EndFound(TimePoint now, FlowSearch& search, ServerKey server);
   // Ends a search after all candidates were queried and have answered or timed
   // out, or after it was queued for too long: resets the flow if it is lost.
   void Finish(TimePoint now, FlowSearch& search);
@@ -89,6 +118,9 @@
   ViewGossip& gossip;
   FlowSender& sender;
   MetricSet& metrics;
+  const bool batched_lookup;
+  std::uint64_t searches_begun = 0;
+  LookupBatcher batcher;
   SearchTable searches;
   SearchCongestionWindow congestion_window;
   std::deque<FlowKey> queue;  // flows whose search waits to send, FIFO
--- a/src/core/flow/search/search_table.cc
+++ b/src/core/flow/search/search_table.cc
@@ -11,6 +11,8 @@
 constexpr std::size_t kFirstBatchSize = 3;
 // Later batches are larger because every batch costs the client a round trip.
 constexpr std::size_t kLaterBatchSize = 16;
+// A lookup by key costs so little that the third batch includes all servers.
+constexpr std::size_t kSecondBatchEnd = kFirstBatchSize + kLaterBatchSize;
 
 }  // namespace
 
@@ -41,10 +43,23 @@
                           search.candidates.end());
 }
 
-std::size_t NextBatchSize(const FlowSearch& search) {
-  const std::size_t batch_size =
-      search.queried == 0 ? kFirstBatchSize : kLaterBatchSize;
-  return std::min(batch_size, search.candidates.size() - search.queried);
+bool RemoveLookup(FlowSearch& search, ServerKey server) {
+  const auto found =
+      std::find(search.lookups.begin(), search.lookups.end(), server);
+  if (found == search.lookups.end()) {
+    return false;
+  }
+  search.lookups.erase(found);
+  return true;
+}
+
+std::size_t NextBatchSize(const FlowSearch& search, bool batched_lookup) {
+  const std::size_t left = search.candidates.size() - search.queried;
+  if (batched_lookup && search.queried >= kSecondBatchEnd) {
+    return left;
+  }
+  return std::min(search.queried == 0 ? kFirstBatchSize : kLaterBatchSize,
+                  left);
 }
 
 }  // namespace cactuscross
--- a/src/core/flow/search/search_table.h
+++ b/src/core/flow/search/search_table.h
@@ -1,11 +1,12 @@
 #ifndef CACTUSCROSS_SRC_CORE_FLOW_SEARCH_SEARCH_TABLE_H_
 #define CACTUSCROSS_SRC_CORE_FLOW_SEARCH_SEARCH_TABLE_H_
 
-// Searches for the server that holds a flow. The flow's packet is sent to the
-// candidate servers in the flow's rendezvous order, in batches, and the agents
-// answer whether their server holds the flow.
+// Searches for the server that holds a flow. The agents of the candidate
+// servers are queried in the flow's rendezvous order, in batches, by the flow's
+// key or by its packet, and answer whether their server holds the flow.
 
 #include <algorithm>
+#include <cstdint>
 #include <vector>
 
 #include "cactuscross/flow_types.h"
@@ -16,17 +17,26 @@
 
 struct FlowSearch {
   FlowKey flow;
+  std::uint64_t number = 0;  // distinguishes searches for the same flow
   std::vector<ServerKey> candidates;  // servers that may hold the flow
   std::size_t queried = 0;            // number of `candidates` queried so far
   std::vector<ServerKey> answered;    // queried servers that do not hold it
-  // The first one is the query; the others are forwarded to the server found.
+  // Of the queried servers: those whose lookup is queued or in flight, those
+  // to which the packet is to be sent next, and those to which it was sent.
+  std::vector<ServerKey> lookups;
+  std::vector<ServerKey> by_packet;
+  std::vector<ServerKey> packet_servers;
+  // The first one is the query by packet. All are forwarded to the server
+  // found, unless it got the first one as a query.
   std::vector<Bytes> packets;
   std::uint32_t last_acknowledgement = 0;  // of the client
   TimePoint started_at;
   TimePoint sent_at;
-  std::size_t last_batch_size = 0;  // servers queried at `sent_at`
+  std::size_t last_batch_size = 0;  // servers queried by packet at `sent_at`
   std::size_t outstanding = 0;      // of those, how many have not answered
-  bool waiting = false;  // queued until the congestion window has capacity
+  // For answers to lookups, or until the congestion window has capacity for the
+  // packets.
+  bool waiting = false;
   // The server that held the flow reported that it no longer holds it.
   bool holder_denied = false;
 
@@ -34,6 +44,14 @@
     return std::find(this->answered.begin(), this->answered.end(), server) !=
            this->answered.end();
   }
+  bool AwaitsLookup(ServerKey server) const {
+    return std::find(this->lookups.begin(), this->lookups.end(), server) !=
+           this->lookups.end();
+  }
+  bool WasSentPacket(ServerKey server) const {
+    return std::find(this->packet_servers.begin(), this->packet_servers.end(),
+                     server) != this->packet_servers.end();
+  }
   bool AllAnswered() const { return this->answered.size() >= this->queried; }
   bool AllQueried() const { return this->queried == this->candidates.size(); }
 };
@@ -55,8 +73,13 @@
 // Removes servers that are known not to hold the flow from the candidates.
 void RemoveDenied(FlowSearch& search, const std::vector<ServerKey>& servers);
 
-// Number of servers in the next batch.
-std::size_t NextBatchSize(const FlowSearch& search);
+// Removes `server` from those whose lookup is queued or in flight. Returns
+// false if it was not among them.
+bool RemoveLookup(FlowSearch& search, ServerKey server);
+
+// Number of servers in the next batch. `batched_lookup`: flows are looked up by
+// key, so that a batch may include all servers.
+std::size_t NextBatchSize(const FlowSearch& search, bool batched_lookup);
 
 }  // namespace cactuscross
 
--- a/tests/support/flow_simulation.cc
+++ b/tests/support/flow_simulation.cc
@@ -62,6 +62,12 @@
   return this->impl->totals;
 }
 
+void FlowSimulation::StartRequests(std::size_t kind) {
+  for (std::size_t user = 0; user < this->impl->config.users; ++user) {
+    this->impl->StartRequest(kind, user);
+  }
+}
+
 void FlowSimulation::KillBalancer(std::size_t index, Duration restart_delay) {
   Impl::Balancer& balancer = this->impl->balancers[index];
   balancer.core.reset();
@@ -93,13 +99,33 @@
     server.silent = true;
     server.agent.reset();
     const std::string name = server.name + (new_names ? "'" : "");
-    this->link.Schedule(restart_delay, [this, i, name] {
-      this->impl->StartServer(i, name);
+    const Duration server_delay = this->impl->config.server_start_delay;
+    this->link.Schedule(restart_delay, [this, i, name, server_delay] {
+      if (server_delay == Duration{0}) {
+        this->impl->StartServer(i, name);
+      } else {
+        this->impl->servers[i].silent = false;
+        this->link.Schedule(server_delay, [this, i, name] {
+          this->impl->StartServer(i, name);
+        });
+      }
       this->impl->StartAgent(i);
     });
   }
 }
 
+void FlowSimulation::SetLookupFault(LookupFault fault) {
+  this->impl->lookup_fault = fault;
+}
+
+std::uint64_t FlowSimulation::SearchBytes() const {
+  return this->impl->search_bytes;
+}
+
+TimePoint FlowSimulation::LastLostAt() const {
+  return this->impl->last_lost_at;
+}
+
 std::size_t FlowSimulation::ServerCount() const {
   return this->impl->servers.size();
 }
@@ -146,6 +172,8 @@
 
 void FlowSimulation::SetStoreDown(bool down, bool silent) {
   this->impl->store_down = down;
+  this->impl->store_settled_at =
+      std::max(this->impl->store_settled_at, this->link.Now());
   this->impl->store_silent = silent;
 }
 
--- a/tests/support/flow_simulation.h
+++ b/tests/support/flow_simulation.h
@@ -40,6 +40,7 @@
   bool idempotent = true;
   bool long_flows = false;  // one flow per user; otherwise one per request
   double per_second = 0;
+  std::uint32_t request_bytes = 100;  // payload of the request's packet
   Duration mean_service_time{55000};
   Duration latency_target{250000};
   Duration deadline{2500000};  // for all attempts together
@@ -53,6 +54,10 @@
   std::vector<FlowRequestConfig> requests;
   // The store has no routes until this time after the start.
   Duration routes_delay{0};
+  // After a power loss, a server accepts connections this long after its agent
+  // has started.
+  Duration server_start_delay{0};
+  bool batched_lookup = true;  // FlowBalancerSettings::batched_lookup
 };
 
 // Example deployment, the Workshop Association: two services, with its request
@@ -73,6 +78,13 @@
   double ServedShare() const;
 };
 
+// Which datagrams of lookups are lost.
+enum class LookupFault : std::uint8_t {
+  kNone,
+  kLookups,  // as if all agents were of the previous version
+  kReplies,
+};
+
 class FlowSimulation {
  public:
   FlowSimulation(std::uint64_t seed, const FlowSimulationConfig& config);
@@ -86,6 +98,8 @@
   FlowTotals Run(Duration time);
 
   Link& GetLink() { return this->link; }
+  // Each user sends a request of this kind now.
+  void StartRequests(std::size_t kind);
   // Sets whether clients send new requests.
   void SetTraffic(bool on) { this->traffic = on; }
 
@@ -100,6 +114,12 @@
   // Limits the rate of a balancer's link in each direction.
   void SlowLink(std::size_t balancer, double bytes_per_second);
 
+  void SetLookupFault(LookupFault fault);
+  // Bytes of all queries of searches and of the answers to them.
+  std::uint64_t SearchBytes() const;
+  // Time of the last reset of a flow that no server holds.
+  TimePoint LastLostAt() const;
+
   // Servers are numbered across all services.
   std::size_t ServerCount() const;
   void CrashServer(std::size_t index, bool silent);  // no restart
--- a/tests/support/flow_simulation_clients.cc
+++ b/tests/support/flow_simulation_clients.cc
@@ -121,7 +121,7 @@
   header.flow = flow.key;
   header.sequence = flow.next_sequence;
   header.acknowledgement = flow.server_sequence + 1;
-  header.data_bytes = 100;
+  header.data_bytes = this->requests[flow.request].config->request_bytes;
   header.request = flow.request;
   this->SendFromClient(header);
   this->simulation.link.Schedule(
--- a/tests/support/flow_simulation_impl.h
+++ b/tests/support/flow_simulation_impl.h
@@ -128,6 +128,11 @@
                     std::size_t bytes,
                     LinkEnd peer,
                     const Link::Action& deliver);
+  // Counts a datagram of a search and returns its size.
+  std::size_t CountSearchBytes(std::size_t bytes);
+  // Size of a notice; counts it if it belongs to a search.
+  std::size_t NoticeBytes(const FlowNotice& notice);
+  bool IsLost(const FlowNotice& notice) const;
   void TickBalancer(std::size_t index, FlowBalancerInbox inbox);
   void TickAgent(std::size_t index, const FlowAgentInbox& inbox);
   void DeliverToClient(const Bytes& bytes);
@@ -185,6 +190,8 @@
   std::vector<RoutesEntry> routes_history;  // in order of version
   bool store_down = false;
   bool store_silent = false;
+  // Since then the store answers and has the newest routes.
+  TimePoint store_settled_at;
   std::uint64_t store_calls = 0;
   std::map<std::uint64_t, ClientFlow> flows;
   std::map<std::uint64_t, Request> requests;
@@ -193,6 +200,9 @@
   std::uint32_t next_client = 1;
   std::array<std::uint64_t, kFlowEventKinds> events{};
   FlowTotals totals;
+  LookupFault lookup_fault = LookupFault::kNone;
+  std::uint64_t search_bytes = 0;
+  TimePoint last_lost_at;
 };
 
 }  // namespace cactuscross::testing
--- a/tests/support/flow_simulation_processes.cc
+++ b/tests/support/flow_simulation_processes.cc
@@ -3,6 +3,7 @@
 #include <iostream>
 #include <utility>
 
+#include "src/wire/flow_codec.h"
 #include "tests/support/flow_simulation_impl.h"
 
 namespace cactuscross::testing {
@@ -18,7 +19,7 @@
 // sends in this time.
 constexpr Duration kMaxLinkQueueTime{500000};
 constexpr std::size_t kIpUdpHeaderBytes = 28;
-constexpr std::size_t kNoticeBytes = 50;  // without the packet that it returns
+constexpr std::size_t kNoticeBytes = 50;  // without packet and lookups
 
 }  // namespace
 
@@ -74,6 +75,7 @@
   settings.node.zone = "z" + std::to_string(balancer.zone);
   settings.node.data = {balancer.host, 1};
   settings.control = {balancer.host, 3};
+  settings.batched_lookup = this->config.batched_lookup;
   settings.seeds = {{kBalancerNetwork + 1, 3}, {kBalancerNetwork + 2, 3}};
   balancer.core = std::make_unique<FlowBalancer>(
       settings, this->simulation.link.GetRandom().Next());
@@ -159,6 +161,35 @@
   });
 }
 
+std::size_t FlowSimulation::Impl::CountSearchBytes(std::size_t bytes) {
+  this->search_bytes += bytes + kIpUdpHeaderBytes;
+  return bytes;
+}
+
+std::size_t FlowSimulation::Impl::NoticeBytes(const FlowNotice& notice) {
+  const std::size_t packet =
+      notice.packet.empty() ? 0 : PacketBytes(notice.packet);
+  const std::size_t bytes = notice.lookups.empty()
+                                ? kNoticeBytes + packet
+                                : EncodeFlowNotice(notice).size();
+  switch (notice.kind) {
+    case NoticeKind::kLookup:
+    case NoticeKind::kLookupReply:
+    case NoticeKind::kHeld:
+    case NoticeKind::kNotHeld:
+      return this->CountSearchBytes(bytes);
+    default:
+      return bytes;
+  }
+}
+
+bool FlowSimulation::Impl::IsLost(const FlowNotice& notice) const {
+  return (notice.kind == NoticeKind::kLookup &&
+          this->lookup_fault == LookupFault::kLookups) ||
+         (notice.kind == NoticeKind::kLookupReply &&
+          this->lookup_fault == LookupFault::kReplies);
+}
+
 void FlowSimulation::Impl::TickBalancer(std::size_t index,
                                         FlowBalancerInbox inbox) {
   Balancer& balancer = this->balancers[index];
@@ -175,8 +206,12 @@
       if (this->servers[i].host != forward.destination.address) {
         continue;
       }
+      const std::size_t bytes = PacketBytes(forward.bytes);
+      if (forward.mark.purpose == MarkPurpose::kSearch) {
+        this->CountSearchBytes(bytes);
+      }
       this->SendOverLink(
-          index, LinkDirection::kOutbound, PacketBytes(forward.bytes),
+          index, LinkDirection::kOutbound, bytes,
           LinkEnd{forward.destination.address},
           [this, i, forward, host = balancer.host] {
             FlowAgentInbox inbox;
@@ -193,12 +228,13 @@
   }
   for (OutgoingNotice& notice : outbox.notices) {
     for (std::size_t i = 0; i < this->servers.size(); ++i) {
-      if (this->servers[i].host != notice.host) {
+      if (this->servers[i].host != notice.host || this->IsLost(notice.notice)) {
         continue;
       }
       notice.notice.sender = balancer.host;
-      this->SendOverLink(index, LinkDirection::kOutbound, kNoticeBytes,
-                         LinkEnd{notice.host}, [this, i, sent = notice.notice] {
+      this->SendOverLink(index, LinkDirection::kOutbound,
+                         this->NoticeBytes(notice.notice), LinkEnd{notice.host},
+                         [this, i, sent = notice.notice] {
                            FlowAgentInbox inbox;
                            inbox.notices.push_back(sent);
                            this->TickAgent(i, inbox);
@@ -254,14 +290,13 @@
   }
   for (const OutgoingNotice& notice : outbox.notices) {
     for (std::size_t i = 0; i < this->balancers.size(); ++i) {
-      if (this->balancers[i].host != notice.host) {
+      if (this->balancers[i].host != notice.host ||
+          this->IsLost(notice.notice)) {
         continue;
       }
       FlowNotice sent = notice.notice;
       sent.sender = server.host;
-      const std::size_t packet =
-          sent.packet.empty() ? 0 : PacketBytes(sent.packet);
-      this->SendOverLink(i, LinkDirection::kInbound, kNoticeBytes + packet,
+      this->SendOverLink(i, LinkDirection::kInbound, this->NoticeBytes(sent),
                          LinkEnd{server.host}, [this, i, sent] {
                            FlowBalancerInbox inbox;
                            inbox.notices.push_back(sent);
@@ -295,6 +330,9 @@
   static const bool trace = std::getenv("CACTUSCROSS_FLOW_TRACE") != nullptr;
   for (const FlowEvent& event : reported) {
     ++this->events.at(static_cast<std::size_t>(event.kind));
+    if (event.kind == FlowEventKind::kLost) {
+      this->last_lost_at = this->simulation.link.Now();
+    }
     if (trace) {
       std::clog << this->simulation.link.Now().time_since_epoch().count() << " "
                 << process << " " << NameOf(event.kind) << " "
--- a/tests/support/flow_simulation_store.cc
+++ b/tests/support/flow_simulation_store.cc
@@ -58,13 +58,15 @@
                          return share.service == service;
                        });
   };
-  if (names(this->routes)) {
+  if (this->store_down || names(this->routes)) {
     return true;
   }
-  // A version is in force until a newer one has reached all balancers.
+  // A version is in force until a newer one has reached all balancers, which
+  // takes a store that answers and has the newest one.
   for (std::size_t i = 0; i + 1 < this->routes_history.size(); ++i) {
-    const Duration replaced_for =
-        this->simulation.link.Now() - this->routes_history[i + 1].written_at;
+    const TimePoint replaced_at = std::max(
+        this->store_settled_at, this->routes_history[i + 1].written_at);
+    const Duration replaced_for = this->simulation.link.Now() - replaced_at;
     if (replaced_for <= kRouteChangeTime &&
         names(this->routes_history[i].routes)) {
       return true;
@@ -92,6 +94,7 @@
   this->history_start_revision =
       std::min(this->history_start_revision, this->revision);
   ++this->store_era;
+  this->store_settled_at = link.Now() + kOperatorWritesAgain;
   for (std::size_t i = 0; i < this->servers.size(); ++i) {
     link.Schedule(link.GetRandom().Between(Duration{0}, kServersWriteAgain),
                   [this, i, incarnation = this->servers[i].incarnation] {
