--- a/tests/flow/test_agent_orders.cc
+++ b/tests/flow/test_agent_orders.cc
@@ -73,11 +73,15 @@
     }
   }
 
-  // Answers the next call for `subject` at a new revision.
-  void AnswerStore(StoreSubject subject, StoreAnswer answer) {
+  void WaitForCall(StoreSubject subject) {
     while (this->calls.count(subject) == 0) {
       this->Tick({});
     }
+  }
+
+  // Answers the next call for `subject` at a new revision.
+  void AnswerStore(StoreSubject subject, StoreAnswer answer) {
+    this->WaitForCall(subject);
     answer.subject = subject;
     answer.kind = this->calls[subject].kind;
     answer.generation = this->calls[subject].generation;
@@ -206,9 +210,10 @@
   }
 
   // The client's retransmission must not reach the zone through the balancer
-  // that sent the first transmission there.
+  // that sent the first transmission there, also before the response timeout.
   void OpeningSentBeforeTheOrderGoesElsewhere() {
     BalancerUnderTest site(2);
+    site.WaitForCall(StoreSubject::kRoutes);
     site.Open(0);
     const int first = site.SentTo();
     site.Order("z" + std::to_string(first), true);
--- a/tests/flow/test_view_gossip.cc
+++ b/tests/flow/test_view_gossip.cc
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <string>
 #include <vector>
 
 #include "src/core/flow/view/store_view.h"
@@ -44,6 +45,8 @@
 class ViewGossipTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ViewGossipTest);
   CPPUNIT_TEST(DigestThatNamesManyUnknownPeers);
+  CPPUNIT_TEST(DigestsPassOrdersOn);
+  CPPUNIT_TEST(RoutesPassLimitsOn);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -63,6 +66,55 @@
     gossip.Tick(kStart + milliseconds(50), {digest}, view, outbox);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, CountSent(outbox, GossipKind::kPull));
   }
+
+  // A balancer that starts while the store is down learns orders from its peers
+  // before it has routes, and passes them on at once.
+  void DigestsPassOrdersOn() {
+    ViewGossip gossip(Settings());
+    StoreView view(kSeed, seconds(60), /*uses_zone_orders=*/true);
+    FlowBalancerOutbox outbox;
+    gossip.Tick(kStart, {MakeDigest(kPeer)}, view, outbox);
+    GossipMessage digest = MakeDigest(kPeer);
+    digest.zone_orders = {{"z1", true, {1, 44}}};
+    outbox.gossip.clear();
+    gossip.Tick(kStart + milliseconds(50), {digest}, view, outbox);
+    CPPUNIT_ASSERT(view.Orders().IsEvacuated("z1"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         CountSent(outbox, GossipKind::kDigest));
+    const auto sent =
+        std::find_if(outbox.gossip.begin(), outbox.gossip.end(),
+                     [](const OutgoingGossip& outgoing) {
+                       return outgoing.message.kind == GossipKind::kDigest;
+                     });
+    CPPUNIT_ASSERT_EQUAL(std::string("z1"),
+                         sent->message.zone_orders.at(0).zone);
+  }
+
+  // Balancers that do not read the store must know the limits of servers that
+  // warm up.
+  void RoutesPassLimitsOn() {
+    ViewGossip gossip(Settings());
+    StoreView view(kSeed, seconds(60));
+    GossipMessage routes = MakeDigest(kPeer);
+    routes.kind = GossipKind::kRoutes;
+    routes.warmup_limits = {{ServiceId{8}, 4.0, seconds(2)}};
+    FlowBalancerOutbox outbox;
+    gossip.Tick(kStart, {routes}, view, outbox);
+    CPPUNIT_ASSERT(view.Routes().FindWarmupLimit(ServiceId{8}) != nullptr);
+    view.ApplyPeerServers(kStart, {}, {}, {0, 44}, outbox.events);
+    GossipMessage pull = MakeDigest(kPeer);
+    pull.kind = GossipKind::kPull;
+    pull.view_version = ViewVersion();
+    outbox.gossip.clear();
+    gossip.Tick(kStart, {pull}, view, outbox);
+    const auto sent =
+        std::find_if(outbox.gossip.begin(), outbox.gossip.end(),
+                     [](const OutgoingGossip& outgoing) {
+                       return outgoing.message.kind == GossipKind::kRoutes;
+                     });
+    CPPUNIT_ASSERT(sent != outbox.gossip.end());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent->message.warmup_limits.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ViewGossipTest);
--- a/tests/flow/test_zone_evacuation.cc
+++ b/tests/flow/test_zone_evacuation.cc
@@ -322,6 +322,9 @@
     simulation.SetEvacuated(1, true);
     simulation.Run(seconds(1));
     const TimePoint in_force = simulation.GetLink().Now();
+    // Six balancers, most of which do not read the store, and four agents.
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{10},
+                         simulation.EventCount(FlowEventKind::kZoneEvacuated));
     const FlowTotals totals = simulation.Run(seconds(6));
     CPPUNIT_ASSERT(totals.violations.empty());
     CPPUNIT_ASSERT(totals.ServedShare() >= 0.99);
--- a/tests/flow_processes/run.py
+++ b/tests/flow_processes/run.py
@@ -39,7 +39,8 @@
     """Balancers, agents with servers, a store and a client in a random loopback
     network of their own."""
 
-    def __init__(self, build, folder, balancers=2, servers=3):
+    def __init__(self, build, folder, extra_settings="", balancers=2, servers=3):
+        self.extra_settings = extra_settings
         self.network_prefix = (
             f"127.{random.randrange(80, 120)}.{random.randrange(256)}.")
         self.build, self.folder = build, folder
@@ -72,7 +73,7 @@
         return (f'name: "{name}"\nzone: "z"\ndata: "{host}:{DATA_PORT}"\n'
                 f'peer: "{host}:{PEER_PORT}"\n'
                 f'readiness: "{host}:{READINESS_PORT}"\n'
-                "metrics_port: 9464\nfirst_start: true\n")
+                "metrics_port: 9464\nfirst_start: true\n" + self.extra_settings)
 
     def balancer_settings(self, index, seeds=(0, 1)):
         control = self.host(f"balancer-{index}")
@@ -103,7 +104,7 @@
         self.store.put(f"servers/s{index}", {
             "service": service,
             "address": f"{self.host(f'agent-{index}')}:{SERVER_PORT}",
-            "zone": "z", "version": "v1", "slots": 7, "state": state,
+            "zone": f"z{index}", "version": "v1", "slots": 7, "state": state,
             "coldRemainingMs": 0, "seq": self.reports[index],
             "born": self.started_ms[index]})
 
@@ -354,9 +355,46 @@
         expect(len(line["fields"]["stack"]) > 3, f"{name} logged no stack")
 
 
+def zone_is_evacuated(site):
+    """An order whose value is no JSON keeps new flows from the zone, also after
+    its agent has restarted; open flows continue. Without a zone left, openings
+    are refused at once."""
+    flows = [site.client.open(SERVICE_ADDRESS) for _ in range(12)]
+    site.store.put("op/evacuate/z0", b"\xff no json")
+    time.sleep(1.0)
+    expect('cactuscross_flow_zone_evacuated{zone="z0"} 1' in
+           site.get("balancer-1", "/metrics", 9464)[1],
+           "the metrics do not show the evacuated zone")
+    expect('"zone_evacuated"' in site.log("agent-0"), "agent was not told")
+    before = site.servers[0].openings
+    for flow in flows:
+        expect(flow.exchange(b"still") not in (None, "reset"), "flow broke")
+    site.signal("agent-0", signal.SIGKILL)
+    site.processes["agent-0"].wait()
+    site.start("agent-0")
+    site.wait_ready("agent-0")
+    for _ in range(12):
+        expect(site.client.open(SERVICE_ADDRESS) is not None, "not served")
+    expect(site.servers[0].openings == before, "evacuated zone got a new flow")
+    site.store.put("op/evacuate/z1", {})
+    time.sleep(1.0)
+    started_at = time.monotonic()
+    expect(site.client.open(SERVICE_ADDRESS) is None,
+           "flow was accepted although all zones are evacuated")
+    expect(time.monotonic() - started_at < 0.5, "refusal took 0.5 s or longer")
+    site.store.delete("op/evacuate/z0")
+    time.sleep(1.0)
+    expect(site.client.open(SERVICE_ADDRESS).exchange(b"x").startswith("s0"),
+           "the zone did not return")
+
+
+# Settings of all processes of a scenario, in addition to the usual ones.
+EXTRA_SETTINGS = {zone_is_evacuated: "evacuation_bound_ms: 5000\n"}
+
 SCENARIOS = [flows_are_whole, balancer_is_replaced, agent_is_killed, server_dies,
              restart_without_store, routes_and_drain, store_is_restored,
-             reused_revisions_are_noticed, settings_change, crash_is_logged]
+             reused_revisions_are_noticed, settings_change, zone_is_evacuated,
+             crash_is_logged]
 
 
 def main():
@@ -372,7 +410,8 @@
         with tempfile.TemporaryDirectory() as folder:
             site = None
             try:
-                site = Site(options.build.resolve(), pathlib.Path(folder))
+                site = Site(options.build.resolve(), pathlib.Path(folder),
+                            EXTRA_SETTINGS.get(scenario, ""))
                 scenario(site)
                 print(f"ok {scenario.__name__}")
             except Failure as failure:
