Flow path: warm-up limit holds before balancers know the new entry

An agent whose server had just started was told by balancers that had not read the new entry that there is no limit. Queries now name the rate of the service also for warm servers, and the agent keeps to it for 2 s after a start.

Without the delay of 2 s, ServerRestartsWhileTheStoreIsDown and BalancersThatDoNotKnowOfTheStart fail.

--- a/src/core/flow/agent/flow_agent.cc
+++ b/src/core/flow/agent/flow_agent.cc
@@ -105,6 +105,9 @@
 
 FlowAgentOutbox FlowAgent::Impl::Tick(TimePoint now,
                                       const FlowAgentInbox& inbox) {
+  if (this->now == TimePoint()) {
+    this->rate_limit.NoteServerStart(now);
+  }
   this->now = now;
   this->outbox = FlowAgentOutbox();
   while (!this->recent_openings.empty() &&
@@ -325,7 +328,7 @@
   const bool was_down = this->health_check.IsDown();
   this->health_check.NoteProbe(this->now, probe);
   if (probe == ProbeResult::kRefused) {
-    this->rate_limit.NoteServerStart();
+    this->rate_limit.NoteServerStart(this->now);
     this->knows_all_flows = this->knows_all_flows || !this->flows.HasEvicted();
   }
   if (was_down != this->health_check.IsDown()) {
--- a/src/core/flow/agent/opening_rate_limit.cc
+++ b/src/core/flow/agent/opening_rate_limit.cc
@@ -10,22 +10,27 @@
 // from those at the agent.
 constexpr Duration kWindow{1020000};
 
+// Time after a start in which balancers may not know the server's new entry
+// yet, and still take the server for a warm one. Covers a failed read of the
+// store, and gossip.
+constexpr Duration kEntryDelay{2000000};
+
 // Bounds the memory of the window while no limit is known. The design size has
 // 17 openings per second and server.
 constexpr std::size_t kMaxCounted = 4096;
 
 }  // namespace
 
-void OpeningRateLimit::NoteServerStart() {
+void OpeningRateLimit::NoteServerStart(TimePoint now) {
   this->rate_known = false;
-  this->ends_at = TimePoint();
+  this->ends_at = now + kEntryDelay;
 }
 
 void OpeningRateLimit::NoteRate(TimePoint now,
                                 double rate,
                                 Duration remaining) {
   this->rate_known = true;
-  if (rate > 0 && remaining > Duration{0}) {
+  if (rate > 0) {
     this->rate = rate;
     this->ends_at = std::max(this->ends_at, now + remaining);
   }
@@ -39,7 +44,7 @@
     // A bound without slack leaves the server to the balancers' limit.
     return this->slack > 0 ? std::optional(this->slack) : std::nullopt;
   }
-  return now < this->ends_at
+  return this->rate > 0 && now < this->ends_at
              ? std::optional(this->rate * this->overshoot + this->slack)
              : std::nullopt;
 }
--- a/src/core/flow/agent/opening_rate_limit.h
+++ b/src/core/flow/agent/opening_rate_limit.h
@@ -19,12 +19,12 @@
   OpeningRateLimit(double overshoot, double slack)
       : overshoot(overshoot), slack(slack) {}
 
-  // The server has started. Until a balancer tells its rate, it gets `slack`
-  // openings per second.
-  void NoteServerStart();
-  // A balancer told the rate, in openings per second, and the time left until
-  // the server is warm; 0 if it knows of no limit. Of two balancers that
-  // disagree, the one with the longer time counts.
+  // The server, or this agent, has started. Until a balancer tells the rate,
+  // the server gets `slack` openings per second.
+  void NoteServerStart(TimePoint now);
+  // A balancer told the rate of a server that warms up, in openings per second
+  // (0: its service has no limit), and the time left until the server is warm.
+  // Of two balancers that disagree, the one with the longer time counts.
   void NoteRate(TimePoint now, double rate, Duration remaining);
 
   // Returns whether another opening would exceed the limit.
--- a/src/core/flow/balancer/agent_queries.cc
+++ b/src/core/flow/balancer/agent_queries.cc
@@ -60,7 +60,9 @@
       view.Orders().StateOf(entry.server.zone, view.OrdersReadPosition());
   orders.evacuated = order.evacuated;
   orders.evacuation_position = order.position;
-  if (const WarmupLimit* limit = FindLimit(now, view, entry)) {
+  // Also for a warm server: the agent may know better that it has just started.
+  if (const WarmupLimit* limit =
+          view.Routes().FindWarmupLimit(entry.server.service)) {
     orders.warmup_openings_per_second = limit->openings_per_second;
     orders.warmup_remaining = WarmupRemaining(now, entry, *limit);
   }
--- a/tests/flow/test_agent_orders.cc
+++ b/tests/flow/test_agent_orders.cc
@@ -254,6 +254,9 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, site.OrdersTo(1).size());
     CPPUNIT_ASSERT(site.OrdersTo(1)[0].evacuated);
     CPPUNIT_ASSERT(site.OrdersTo(1)[0].evacuation_position.era == 1);
+    // The rate is told for a warm server too: its agent may have just started.
+    CPPUNIT_ASSERT_EQUAL(4.0, site.OrdersTo(1)[0].warmup_openings_per_second);
+    CPPUNIT_ASSERT(Duration{0} == site.OrdersTo(1)[0].warmup_remaining);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->CountQueries(site, 1, 20));
     ServerLoad evacuated;
     evacuated.evacuated = true;
--- a/tests/flow/test_warmup_limit.cc
+++ b/tests/flow/test_warmup_limit.cc
@@ -28,8 +28,10 @@
   CPPUNIT_TEST(OnlySlackUntilABalancerTellsTheRate);
   CPPUNIT_TEST(NoLimitWithoutBoundOrRate);
   CPPUNIT_TEST(BalancersThatDisagree);
+  CPPUNIT_TEST(BalancersThatDoNotKnowOfTheStart);
   CPPUNIT_TEST(LimitsFollowTheRoutes);
   CPPUNIT_TEST(RestartedServerStaysBelowTheLimit);
+  CPPUNIT_TEST(ServerRestartsWhileTheStoreIsDown);
   CPPUNIT_TEST(ServerWithoutALimitExceedsIt);
   CPPUNIT_TEST(LostQueries);
   CPPUNIT_TEST(AgentRestartsBesideAWarmServer);
@@ -66,7 +68,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{5}, Burst(limit, kStart, 50));
     limit.NoteRate(kStart, 0, Duration{0});
     CPPUNIT_ASSERT_EQUAL(std::size_t{50}, Burst(limit, kStart, 50));
-    limit.NoteServerStart();
+    limit.NoteServerStart(kStart + seconds(2));
     CPPUNIT_ASSERT_EQUAL(std::size_t{5}, Burst(limit, kStart + seconds(2), 50));
   }
 
@@ -88,6 +90,16 @@
     CPPUNIT_ASSERT_EQUAL(kMaxPerSecond, Burst(limit, kStart + seconds(9), 50));
   }
 
+  // Balancers that have not read the new entry take the server for a warm one.
+  void BalancersThatDoNotKnowOfTheStart() {
+    OpeningRateLimit limit(kOvershoot, kSlack);
+    limit.NoteServerStart(kStart);
+    limit.NoteRate(kStart, kRate, Duration{0});
+    CPPUNIT_ASSERT_EQUAL(kMaxPerSecond, Burst(limit, kStart, 50));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{50},
+                         Burst(limit, kStart + seconds(3), 50));
+  }
+
   // A process of the previous version passes on routes without limits; the
   // same routes from the store must bring them.
   void LimitsFollowTheRoutes() {
@@ -111,6 +123,23 @@
     CPPUNIT_ASSERT(RestartAndCount(simulation) <= kMaxPerSecond);
   }
 
+  // The new entry can be read 1.5 s after the start.
+  void ServerRestartsWhileTheStoreIsDown() {
+    FlowSimulation simulation(kSeed, Config(kRate));
+    simulation.Run(seconds(2));
+    simulation.CrashServer(0, /*silent=*/false);
+    simulation.Run(milliseconds(500));
+    simulation.SetStoreDown(true, /*silent=*/false);
+    simulation.RestartServer(0);
+    const TimePoint restarted_at = simulation.GetLink().Now();
+    simulation.Run(milliseconds(1500));
+    simulation.SetStoreDown(false, /*silent=*/false);
+    simulation.Run(milliseconds(500));
+    CPPUNIT_ASSERT(simulation.LastOpeningAt(0) > restarted_at);
+    CPPUNIT_ASSERT(simulation.MaxOpeningsPerSecond(0, restarted_at) <=
+                   kMaxPerSecond);
+  }
+
   // The load of these tests would exceed the limit.
   void ServerWithoutALimitExceedsIt() {
     FlowSimulation simulation(kSeed, Config(0));
