--- a/include/cactuscross/server_message.h
+++ b/include/cactuscross/server_message.h
@@ -48,6 +48,7 @@
   std::uint32_t retry_after_s = 0;  // header Retry-After, 0 if absent
   // Header "Not-Run: 1": the server rejected the request without executing it.
   bool not_run = false;
+  bool truncated = false;  // the body is longer than the part in `body`
   Bytes body;
 };
 
--- a/src/core/agent/request_system.cc
+++ b/src/core/agent/request_system.cc
@@ -295,8 +295,9 @@
     return;
   }
   const ServiceLimits* service_limits = this->Limits();
-  if (service_limits != nullptr &&
-      result.body.size() > service_limits->body_bytes) {
+  const bool over_limit = service_limits != nullptr &&
+                          result.body.size() > service_limits->body_bytes;
+  if (result.truncated || over_limit) {
     this->Complete(request, MakeErrorOutcome(ResultCode::kServerAnswerTooLarge,
                                              std::nullopt));
     return;
--- a/src/core/agent/session_system.cc
+++ b/src/core/agent/session_system.cc
@@ -276,7 +276,8 @@
     resources.erase(entry);
     return true;
   }
-  if (result.status != ServerCallStatus::kAnswered || result.not_run) {
+  if (result.status != ServerCallStatus::kAnswered || result.not_run ||
+      result.truncated) {
     return true;  // the known state remains valid until the next poll
   }
   const Outcome outcome = MakeServerOutcome(CoapCode::kGet, result);
--- a/src/core/flow/agent/flow_agent.cc
+++ b/src/core/flow/agent/flow_agent.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "src/core/common/metric_set.h"
+#include "src/core/flow/agent/agent_shutdown.h"
 #include "src/core/flow/agent/server_flows.h"
 #include "src/core/flow/agent/server_health_check.h"
 
@@ -42,6 +43,7 @@
   explicit Impl(const FlowAgentSettings& settings)
       : settings(settings),
         service(MakeServiceId(settings.service)),
+        shutdown(settings.node.max_stop_time),
         knows_all_flows(settings.node.first_start) {}
 
   FlowAgentOutbox Tick(TimePoint now, const FlowAgentInbox& inbox);
@@ -76,6 +78,7 @@
   const ServiceId service;
   ServerFlows flows;
   ServerHealthCheck health_check;
+  AgentShutdown shutdown;
   // True if `flows` contains every flow of the server, because the server has
   // none from before this process or was found not to be running.
   bool knows_all_flows;
@@ -107,11 +110,12 @@
   this->ReadFromBalancers(inbox.from_balancers);
   this->CheckServer(inbox.probe);
   this->flows.Expire(now);
-  if (inbox.stop_requested) {
+  if (inbox.stop_requested && this->shutdown.Request(now)) {
     FlowEvent& event = this->Report(FlowEventKind::kStopping);
     event.count = this->flows.Open();
-    this->outbox.may_exit = true;
   }
+  this->outbox.may_exit =
+      this->shutdown.MayExit(now, this->flows.Running() == 0);
   this->AdvertiseLoad();
   for (const FlowEvent& event : this->outbox.events) {
     this->metrics.Count("flow_events", "event", NameOf(event.kind));
@@ -147,9 +151,7 @@
     if (flow == nullptr) {
       flow = &this->flows.Add(this->now, packet.flow);
     }
-    const bool was_requested = flow->state == ServerFlowState::kRequested;
-    this->flows.NoteFromServer(this->now, *flow, packet);
-    if (was_requested && packet.opening) {
+    if (this->flows.NoteFromServer(this->now, *flow, packet)) {
       FlowEvent& event = this->Report(FlowEventKind::kAccepted);
       event.flow = packet.flow;
       event.running = this->flows.Running();
@@ -178,6 +180,9 @@
     this->Notify(packet.mark.balancer, NoticeKind::kRefused, packet, false);
     return;
   }
+  if (flow != nullptr && IsOfEarlierFlow(*flow, packet)) {
+    return;
+  }
   if (this->returned_flows.size() < kMaxReturnedFlows) {
     this->returned_flows[packet.flow] = this->now;
   }
@@ -219,6 +224,10 @@
   }
   ServerFlow* flow = this->flows.Find(packet.flow);
   if (flow == nullptr) {
+    if (this->shutdown.IsRequested()) {
+      this->Notify(packet.sender, NoticeKind::kRefused, packet, false);
+      return;
+    }
     if (this->max_running > 0 && this->ExpectedRunning() >= this->max_running) {
       FlowEvent& event = this->Report(FlowEventKind::kRefused);
       event.flow = packet.flow;
@@ -229,6 +238,7 @@
     }
     flow = &this->flows.Add(this->now, packet.flow);
     this->recent_openings.push_back(this->now);
+    this->shutdown.NoteOpening(this->now);
   }
   flow->balancer = packet.sender;
   this->flows.NoteFromClient(this->now, *flow, packet);
@@ -245,7 +255,9 @@
     this->NotifyNotHeld(packet.sender, packet);
     return;
   }
-  this->flows.NoteFromClient(this->now, *flow, packet);
+  if (!IsOfEarlierFlow(*flow, packet)) {
+    this->flows.NoteFromClient(this->now, *flow, packet);
+  }
   if (packet.mark.purpose == MarkPurpose::kSearch) {
     this->Notify(packet.sender, NoticeKind::kHeld, packet, false);
   }
@@ -319,7 +331,7 @@
   ServerLoad load;
   load.running = this->ExpectedRunning();
   load.open_flows = this->flows.Open();
-  load.down = this->health_check.IsDown() || this->outbox.may_exit;
+  load.down = this->health_check.IsDown() || this->shutdown.IsRequested();
   return load;
 }
 
--- a/src/core/flow/agent/server_flows.cc
+++ b/src/core/flow/agent/server_flows.cc
@@ -14,8 +14,8 @@
 constexpr Duration kOpenTimeout{60000000};
 constexpr Duration kClosingTimeout{6000000};
 
-// In a flow that was just accepted, the maximum distance of the client's
-// acknowledgement from the server's initial sequence number.
+// Maximum distance of a client's acknowledgement from its previous one, or from
+// the server's initial sequence number.
 constexpr std::uint32_t kAcknowledgementWindow = 1U << 20U;
 
 bool IsNewer(std::uint32_t sequence, std::uint32_t than) {
@@ -77,7 +77,7 @@
                                  const FlowPacket& packet) {
   this->Touch(now, flow);
   if (packet.opening) {
-    flow.client_sequence = packet.sequence;
+    flow.opening_sequence = packet.sequence;
     return;
   }
   flow.acknowledgement = packet.acknowledgement;
@@ -96,16 +96,22 @@
   }
 }
 
-void ServerFlows::NoteFromServer(TimePoint now,
+bool ServerFlows::NoteFromServer(TimePoint now,
                                  ServerFlow& flow,
                                  const FlowPacket& packet) {
   this->Touch(now, flow);
   if (packet.opening) {
-    if (flow.state == ServerFlowState::kRequested) {
+    const bool accepts = flow.state == ServerFlowState::kRequested ||
+                         flow.server_sequence != packet.sequence;
+    if (accepts) {
+      this->SetRunning(flow, false);
       this->SetState(flow, ServerFlowState::kAccepted);
+      flow.client_sequence = flow.opening_sequence;
+      flow.acknowledgement = 0;
     }
     flow.server_sequence = packet.sequence;
-    return;
+    flow.server_sequence_known = true;
+    return accepts;
   }
   if (packet.data_bytes > 0 || packet.closing || packet.reset) {
     this->SetRunning(flow, false);
@@ -115,6 +121,7 @@
   } else if (flow.state == ServerFlowState::kRequested) {
     this->SetState(flow, ServerFlowState::kOpen);
   }
+  return false;
 }
 
 void ServerFlows::Expire(TimePoint now) {
@@ -172,4 +179,15 @@
   }
 }
 
+bool IsOfEarlierFlow(const ServerFlow& flow, const FlowPacket& packet) {
+  if (!flow.server_sequence_known || packet.acknowledgement == 0) {
+    return false;
+  }
+  const std::uint32_t expected =
+      flow.acknowledgement == 0 ? flow.server_sequence : flow.acknowledgement;
+  // Reordered packets have lower acknowledgements.
+  return packet.acknowledgement - expected + kAcknowledgementWindow >=
+         2 * kAcknowledgementWindow;
+}
+
 }  // namespace cactuscross
--- a/src/core/flow/agent/server_flows.h
+++ b/src/core/flow/agent/server_flows.h
@@ -26,6 +26,9 @@
   std::uint32_t balancer = 0;  // IPv4 address; sender of the opening packet
   // Initial sequence number of the server, from its SYN-ACK.
   std::uint32_t server_sequence = 0;
+  bool server_sequence_known = false;
+  // Initial sequence number of the client, from its latest SYN.
+  std::uint32_t opening_sequence = 0;
   // Sequence number that follows the newest data of the client.
   std::uint32_t client_sequence = 0;
   std::uint32_t acknowledgement = 0;  // last one received from the client
@@ -44,8 +47,10 @@
   void NoteFromClient(TimePoint now,
                       ServerFlow& flow,
                       const FlowPacket& packet);
-  // Updates `flow` from a packet of the server to the client.
-  void NoteFromServer(TimePoint now,
+  // Updates `flow` from a packet of the server to the client. Returns true if
+  // the server accepts a flow with it: the one requested, or another one of the
+  // client's port after the earlier one.
+  bool NoteFromServer(TimePoint now,
                       ServerFlow& flow,
                       const FlowPacket& packet);
 
@@ -76,6 +81,11 @@
 // accepted the same opening; the client then acknowledges only one of the two.
 bool BelongsTo(const ServerFlow& flow, const FlowPacket& packet);
 
+// True if `packet` of a client belongs to an earlier flow of the same port: it
+// acknowledges nothing that the server can have sent in `flow`. Such packets
+// arrive late; the server rejects them by their sequence numbers.
+bool IsOfEarlierFlow(const ServerFlow& flow, const FlowPacket& packet);
+
 }  // namespace cactuscross
 
 #endif  // CACTUSCROSS_SRC_CORE_FLOW_AGENT_SERVER_FLOWS_H_
--- a/src/core/flow/balancer/flow_balancer.cc
+++ b/src/core/flow/balancer/flow_balancer.cc
@@ -71,6 +71,9 @@
   void OnAccepted(const FlowNotice& notice, ServerKey server);
   // Returns the opening of `flow` if it was last sent to `server`; else null.
   Opening* FindSentTo(const FlowKey& flow, ServerKey server);
+  // The server of an earlier flow with the same key has refused an opening that
+  // was sent to it by the cache. The client's retransmission is placed anew.
+  void ForgetHolder(const FlowKey& flow, ServerKey server);
   void OnRefused(const FlowNotice& notice, ServerKey server);
   void OnSaturated(const FlowNotice& notice, ServerKey server);
   void OnHeld(const FlowNotice& notice, ServerKey server);
@@ -213,11 +216,19 @@
   return was_sent ? opening : nullptr;
 }
 
+void FlowBalancer::Impl::ForgetHolder(const FlowKey& flow, ServerKey server) {
+  if (this->cache.Lookup(this->now, flow, false) == server) {
+    this->cache.Erase(flow);
+  }
+}
+
 void FlowBalancer::Impl::OnRefused(const FlowNotice& notice, ServerKey server) {
   if (Opening* opening = this->FindSentTo(notice.flow, server)) {
     this->SendToNextServer(*opening, notice.kind == NoticeKind::kWrongService
                                          ? "wrong_service"
                                          : "server_refused");
+  } else if (notice.kind == NoticeKind::kRefused) {
+    this->ForgetHolder(notice.flow, server);
   }
 }
 
@@ -226,7 +237,9 @@
 void FlowBalancer::Impl::OnSaturated(const FlowNotice& notice,
                                      ServerKey server) {
   Opening* opening = this->FindSentTo(notice.flow, server);
-  if (opening != nullptr && !opening->waiting) {
+  if (opening == nullptr) {
+    this->ForgetHolder(notice.flow, server);
+  } else if (!opening->waiting) {
     this->response_timeout.NoteAnswered(this->now);
     opening->attempted_servers.pop_back();
     this->SendToNextServer(*opening, "server_saturated");
@@ -250,7 +263,10 @@
   this->cache.Erase(notice.flow);
   const FlowRoute* route =
       this->view.Routes().Find(notice.flow.service_address);
-  if (route != nullptr && !notice.packet.empty()) {
+  // A packet without acknowledgement is an opening. A search would open the
+  // flow at several servers; the client sends it again.
+  if (route != nullptr && !notice.packet.empty() &&
+      notice.acknowledgement != 0) {
     this->searcher.Begin(this->now, notice.flow, route->services, notice.packet,
                          notice.acknowledgement, true);
   }
@@ -508,6 +524,12 @@
       this->stopping &&
       this->now - this->stop_requested_at >=
           std::min(kShutdownGrace, this->settings.node.max_stop_time / 2);
+  if (this->sender.Outbox().may_exit) {
+    // The clients learn that nothing has run, and need not wait for a timeout.
+    for (const FlowKey& flow : this->openings.WaitingFlows()) {
+      this->RefuseOpening(*this->openings.Find(flow), "stopping");
+    }
+  }
 }
 
 std::string FlowBalancer::Impl::NameOfServer(ServerKey key) {
--- a/src/shell/flow/flow_adapter.h
+++ b/src/shell/flow/flow_adapter.h
@@ -27,7 +27,8 @@
   virtual std::optional<FlowPacket> Decode(ByteView bytes,
                                            bool from_server) const = 0;
 
-  // Writes `mark` into an encoded packet and clears its `returned` flag.
+  // Writes `mark` into an encoded packet and clears its `returned` flag. Does
+  // nothing if `packet` is too short to be one.
   virtual void SetMark(Bytes& packet, const RouteMark& mark) const = 0;
 
   virtual Bytes EncodeReset(const FlowReset& reset) const = 0;
--- a/src/shell/flow/flow_process.cc
+++ b/src/shell/flow/flow_process.cc
@@ -4,6 +4,7 @@
 #include <system_error>
 #include <utility>
 
+#include "src/shell/flow/notice_packet.h"
 #include "src/shell/log.h"
 #include "src/shell/operations_server.h"
 #include "src/wire/flow_codec.h"
@@ -103,7 +104,7 @@
   }
   for (const ReceivedDatagram& datagram : this->peer.Receive()) {
     auto notice = DecodeFlowNotice(datagram.bytes, datagram.source.address);
-    if (notice) {
+    if (notice && HasValidPacket(*this->adapter.codec, *notice)) {
       notices.push_back(std::move(*notice));
     } else {
       ++this->undecodable;
--- a/src/shell/flow/server_probe.cc
+++ b/src/shell/flow/server_probe.cc
@@ -13,6 +13,8 @@
 // The server is on this host, where a connection takes well under a
 // millisecond.
 constexpr Duration kConnectTimeout{150000};  // 150 ms
+// Time until an attempt that could not be made is repeated.
+constexpr Duration kRetryInterval{100000};  // 100 ms
 
 }  // namespace
 
@@ -28,6 +30,11 @@
   } else if (errno == ECONNREFUSED) {
     this->immediate_result = ProbeResult::kRefused;
   }
+  this->failed = this->immediate_result == ProbeResult::kNone &&
+                 (!this->socket.IsOpen() || errno != EINPROGRESS);
+  if (this->failed) {
+    this->socket.Close();
+  }
 }
 
 void ServerProbe::AppendPollEntries(std::vector<pollfd>& entries) const {
@@ -37,6 +44,9 @@
 }
 
 ProbeResult ServerProbe::Continue(TimePoint now) {
+  if (this->failed && now - this->started_at >= kRetryInterval) {
+    this->Begin(now);
+  }
   if (!this->socket.IsOpen()) {
     return ProbeResult::kNone;
   }
--- a/src/shell/flow/server_probe.h
+++ b/src/shell/flow/server_probe.h
@@ -17,6 +17,8 @@
  public:
   explicit ServerProbe(const Endpoint& server) : server(server) {}
 
+  // Starts an attempt. One that fails on this host, for example for lack of
+  // descriptors or ports, says nothing about the server and is repeated.
   void Begin(TimePoint now);
   void AppendPollEntries(std::vector<pollfd>& entries) const;
   ProbeResult Continue(TimePoint now);
@@ -26,6 +28,7 @@
   FileDescriptor socket;
   TimePoint started_at;
   ProbeResult immediate_result = ProbeResult::kNone;
+  bool failed = false;  // the attempt could not be made
 };
 
 }  // namespace cactuscross
--- a/src/shell/http_client.cc
+++ b/src/shell/http_client.cc
@@ -15,8 +15,6 @@
 namespace cactuscross {
 namespace {
 
-// Maximum size of the status line and headers of a response.
-constexpr std::size_t kMaxHeaderBytes = 16384;
 // Maximum number of bytes per recv() call.
 constexpr std::size_t kReadBytes = 65536;
 
@@ -53,32 +51,6 @@
   return text;
 }
 
-// Returns the value of a header for which Pistache has no type, or an empty
-// string.
-std::string RawHeader(const Pistache::Http::Response& response,
-                      const std::string& name) {
-  const auto& headers = response.headers().rawList();
-  const auto found = headers.find(name);
-  return found == headers.end() ? std::string() : found->second.value();
-}
-
-// True if the status code or the headers determine the length of the body.
-bool IsFramed(const Pistache::Http::Response& response) {
-  using Pistache::Http::Header::ContentLength;
-  using Pistache::Http::Header::TransferEncoding;
-  const int code = static_cast<int>(response.code());
-  const auto& headers = response.headers();
-  return code == 204 || code == 304 || headers.has<ContentLength>() ||
-         headers.has<TransferEncoding>();
-}
-
-bool KeepsConnection(const Pistache::Http::Response& response) {
-  const auto header =
-      response.headers().tryGet<Pistache::Http::Header::Connection>();
-  return header == nullptr ||
-         header->control() == Pistache::Http::ConnectionControl::KeepAlive;
-}
-
 }  // namespace
 
 std::string EncodeTarget(std::string_view path, std::string_view query) {
@@ -95,6 +67,13 @@
   return target;
 }
 
+bool IsIdleConnection(const FileDescriptor& socket) {
+  char byte = 0;
+  return socket.IsOpen() &&
+         recv(socket.Get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         errno == EAGAIN;
+}
+
 HttpExchange::HttpExchange(HttpRequest request,
                            TimePoint deadline,
                            FileDescriptor connection)
@@ -102,8 +81,7 @@
       deadline(deadline),
       socket(std::move(connection)),
       request_bytes(Serialize(this->request)),
-      parser(std::make_unique<Pistache::Http::ResponseParser>(
-          this->request.max_body_bytes + kMaxHeaderBytes)) {
+      parser(this->request.max_body_bytes) {
   if (this->socket.IsOpen()) {
     this->stage = Stage::kSending;
   } else {
@@ -185,7 +163,7 @@
         recv(this->socket.Get(), buffer.data(), buffer.size(), 0);
     if (count > 0) {
       this->received = true;
-      this->Parse(buffer.data(), static_cast<std::size_t>(count));
+      this->Parse({buffer.data(), static_cast<std::size_t>(count)});
     } else if (count == 0 || (errno != EAGAIN && errno != EINTR)) {
       this->Fail();
     } else {
@@ -194,41 +172,36 @@
   }
 }
 
-void HttpExchange::Parse(const char* bytes, std::size_t size) {
-  using Pistache::Http::Private::State;
-  // Pistache throws exceptions of several types for malformed responses.
-  try {
-    if (!this->parser->feed(bytes, size)) {
-      this->FinishWithResponse(/*body_complete=*/false);
-    } else if (this->parser->parse() == State::Done) {
+void HttpExchange::Parse(std::string_view bytes) {
+  switch (this->parser.Append(bytes)) {
+    case HttpParseState::kIncomplete:
+      break;
+    case HttpParseState::kComplete:
       this->FinishWithResponse(/*body_complete=*/true);
-    }
-  } catch (const std::exception&) {
-    this->response.malformed = true;
-    this->Fail();
+      break;
+    case HttpParseState::kTooLong:
+      this->FinishWithResponse(/*body_complete=*/false);
+      break;
+    case HttpParseState::kMalformed:
+      this->response.malformed = true;
+      this->Fail();
+      break;
   }
 }
 
 void HttpExchange::FinishWithResponse(bool body_complete) {
-  const Pistache::Http::Response& parsed = this->parser->response;
-  if (body_complete && !IsFramed(parsed)) {
-    this->response.malformed = true;
-    this->Fail();
-    return;
-  }
-  const bool keep =
-      body_complete && this->request.keep_alive && KeepsConnection(parsed);
-  this->response.code = static_cast<int>(parsed.code());
+  const HttpResponseParser& parsed = this->parser;
+  const bool keep = this->request.keep_alive && parsed.KeepsConnection();
+  this->response.code = parsed.Code();
   if (!this->request.response_header.empty()) {
-    this->response.header = RawHeader(parsed, this->request.response_header);
+    this->response.header = parsed.Header(this->request.response_header);
   }
-  this->response.not_run = RawHeader(parsed, "Not-Run") == "1";
-  const auto retry_after = ParseNumber(RawHeader(parsed, "Retry-After"));
+  this->response.not_run = parsed.Header("Not-Run") == "1";
+  const auto retry_after = ParseNumber(parsed.Header("Retry-After"));
   this->response.retry_after_s = static_cast<std::uint32_t>(
       std::clamp<std::int64_t>(retry_after.value_or(0), 0, UINT32_MAX));
-  this->response.body = parsed.body();
-  if (!body_complete ||
-      this->response.body.size() > this->request.max_body_bytes) {
+  this->response.body = this->parser.TakeBody();
+  if (!body_complete) {
     this->response.body.resize(this->request.max_body_bytes + 1);
   }
   FileDescriptor kept = keep ? std::move(this->socket) : FileDescriptor();
--- a/src/shell/http_client.h
+++ b/src/shell/http_client.h
@@ -1,23 +1,21 @@
 #ifndef CACTUSCROSS_SRC_SHELL_HTTP_CLIENT_H_
 #define CACTUSCROSS_SRC_SHELL_HTTP_CLIENT_H_
 
-// HTTP/1.1 client over non-blocking sockets; Pistache parses the responses.
-// Pistache's own client is not used because it does not distinguish a request
+// HTTP/1.1 client over non-blocking sockets. Pistache's client is not used
+// because it does not distinguish a request
 // of which no byte was sent from one that failed later. That difference decides
 // whether the request may be retried.
 
 #include <poll.h>
 
 #include <cstdint>
-#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
 
-#include <pistache/http.h>
-
 #include "cactuscross/server_message.h"
 #include "cactuscross/types.h"
+#include "src/shell/http_response_parser.h"
 #include "src/shell/system.h"
 
 namespace cactuscross {
@@ -53,11 +51,18 @@
 // are percent-encoded, except '%' itself: the input may already be encoded.
 std::string EncodeTarget(std::string_view path, std::string_view query);
 
+// True if the connection is open and has nothing to read, neither data nor
+// end-of-file. A server may send an answer twice; on a connection with
+// something to read, the second copy would be taken for the answer to the next
+// request.
+bool IsIdleConnection(const FileDescriptor& socket);
+
 // One request and its response over a connection.
 class HttpExchange {
  public:
   // Starts to connect, or reuses `connection` of an earlier exchange if it is
-  // open. `deadline` bounds the whole exchange.
+  // open. The caller has checked that it is idle. `deadline` bounds the whole
+  // exchange.
   HttpExchange(HttpRequest request,
                TimePoint deadline,
                FileDescriptor connection = FileDescriptor());
@@ -86,7 +91,7 @@
   void FinishConnect();
   void Send();
   void Receive();
-  void Parse(const char* bytes, std::size_t size);
+  void Parse(std::string_view bytes);
   void FinishWithResponse(bool body_complete);
   // Ends the exchange because the connection failed before the response was
   // complete.
@@ -101,9 +106,7 @@
   std::size_t sent = 0;
   bool done = false;
   bool received = false;
-  // Allocated on the heap because the parser holds pointers into itself, which
-  // a move of the exchange would invalidate.
-  std::unique_ptr<Pistache::Http::ResponseParser> parser;
+  HttpResponseParser parser;
   HttpResponse response;
 };
 
--- a/src/shell/peer_channel.cc
+++ b/src/shell/peer_channel.cc
@@ -13,13 +13,13 @@
 // Time that a replaced or one-time source port stays open for late replies.
 constexpr Duration kRetiredSocketLifetime{30000000};  // 30 s
 // Maximum number of nodes with a source port of their own. Above it the node
-// with the lowest id falls back to the listening port.
+// whose path was renewed first falls back to the listening port.
 constexpr std::size_t kMaxRenewedPaths = 256;
 // Maximum number of replaced and one-time source ports that stay open. Above it
 // the oldest is closed.
 constexpr std::size_t kMaxRetiredSockets = 128;
-// Maximum number of entries in `alternate_sources`. From this size on, new
-// source ports of nodes are ignored.
+// Maximum number of entries in `alternate_sources`. Above it the node that was
+// heard of longest ago is forgotten.
 constexpr std::size_t kMaxAlternateSources = 4096;
 // A new source port of a node renews the path to that node, unless that path
 // was renewed within this interval. Without the limit two nodes would respond
@@ -28,6 +28,15 @@
 // Maximum number of batches received from one socket per tick.
 constexpr int kMaxBatchesPerTick = 16;
 
+// Returns the entry of `map` whose value has the smallest time `member`.
+template <typename Map, typename Value>
+typename Map::iterator FindOldest(Map& map, TimePoint Value::*member) {
+  return std::min_element(map.begin(), map.end(),
+                          [member](const auto& a, const auto& b) {
+                            return a.second.*member < b.second.*member;
+                          });
+}
+
 // Subtracts the time that a request waited in the socket's receive buffer from
 // its remaining time budget. Otherwise a process that was paused would run an
 // expired request.
@@ -105,16 +114,21 @@
 void PeerChannel::RecordSource(TimePoint now,
                                const Endpoint& source,
                                const PeerAddress& from) {
-  if (source == from.endpoint ||
-      this->alternate_sources.size() >= kMaxAlternateSources) {
+  if (source == from.endpoint) {
     return;
   }
-  Endpoint& last_source = this->alternate_sources[from.node];
+  if (this->alternate_sources.size() >= kMaxAlternateSources &&
+      this->alternate_sources.count(from.node) == 0) {
+    this->alternate_sources.erase(
+        FindOldest(this->alternate_sources, &AlternateSource::heard_at));
+  }
+  AlternateSource& alternate = this->alternate_sources[from.node];
+  alternate.heard_at = now;
   const auto path = this->renewed_paths.find(from.node);
   const bool recently_renewed =
       path != this->renewed_paths.end() &&
       now < path->second.renewed_at + kMinReciprocalRenewalInterval;
-  if (std::exchange(last_source, source) == source || recently_renewed) {
+  if (std::exchange(alternate.source, source) == source || recently_renewed) {
     return;
   }
   this->RenewPath(now, from.node);
@@ -179,7 +193,7 @@
   auto old = this->renewed_paths.find(node);
   if (old == this->renewed_paths.end() &&
       this->renewed_paths.size() >= kMaxRenewedPaths) {
-    old = this->renewed_paths.begin();
+    old = FindOldest(this->renewed_paths, &RenewedPath::renewed_at);
   }
   if (old != this->renewed_paths.end()) {
     this->Retire(now, std::move(old->second.socket));
--- a/src/shell/peer_channel.h
+++ b/src/shell/peer_channel.h
@@ -62,6 +62,11 @@
     TimePoint renewed_at;
   };
 
+  struct AlternateSource {
+    Endpoint source;
+    TimePoint heard_at;
+  };
+
   void ReceiveFrom(TimePoint now,
                    const UdpSocket& socket,
                    std::vector<PeerEnvelope>& envelopes);
@@ -79,7 +84,7 @@
   std::vector<RetiredSocket> retired_sockets;  // oldest first
   // Last source address of each node that has sent from another port than its
   // listening port.
-  std::map<NodeId, Endpoint> alternate_sources;
+  std::map<NodeId, AlternateSource> alternate_sources;
 };
 
 }  // namespace cactuscross
--- a/src/shell/platform_client.cc
+++ b/src/shell/platform_client.cc
@@ -3,8 +3,10 @@
 #include <poll.h>
 
 #include <algorithm>
+#include <limits>
 #include <list>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
@@ -56,12 +58,31 @@
   return value;
 }
 
-HostEntry ReadHost(const json& object) {
-  HostEntry host;
-  host.peer.node =
-      NodeId{static_cast<std::uint32_t>(ReadUnsigned(object, "node"))};
+std::optional<Role> ReadRole(const json& object) {
   const std::string role = ReadText(object, "role", kMaxNameBytes);
-  host.peer.role = role == "agent" ? Role::kAgent : Role::kBalancer;
+  if (role == "agent") {
+    return Role::kAgent;
+  }
+  return role == "balancer" ? std::optional(Role::kBalancer) : std::nullopt;
+}
+
+NodeId ReadNode(const json& object) {
+  const std::uint64_t number = ReadUnsigned(object, "node");
+  if (number > std::numeric_limits<std::uint32_t>::max()) {
+    throw std::out_of_range("node " + std::to_string(number));
+  }
+  return NodeId{static_cast<std::uint32_t>(number)};
+}
+
+// Returns nullopt for a host of a role that this version does not know.
+std::optional<HostEntry> ReadHost(const json& object) {
+  HostEntry host;
+  const auto role = ReadRole(object);
+  if (!role) {
+    return std::nullopt;
+  }
+  host.peer.role = *role;
+  host.peer.node = ReadNode(object);
   host.peer.zone = ReadText(object, "zone", kMaxNameBytes);
   const auto endpoint =
       ParseEndpoint(ReadText(object, "address", kMaxNameBytes));
@@ -82,7 +103,9 @@
 
 void ReadHosts(const json& document, PlatformResult& result) {
   for (const json& host : document.at("hosts")) {
-    result.hosts.push_back(ReadHost(host));
+    if (auto read = ReadHost(host)) {
+      result.hosts.push_back(std::move(*read));
+    }
   }
 }
 
--- a/src/shell/server_client.cc
+++ b/src/shell/server_client.cc
@@ -1,10 +1,7 @@
 #include "src/shell/server_client.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <array>
-#include <cerrno>
 #include <chrono>
 #include <string>
 #include <utility>
@@ -24,6 +21,9 @@
 constexpr std::size_t kMaxIdleConnections = 32;
 constexpr Duration kIdleConnectionLifetime{2000000};  // 2 s
 
+// Header that identifies a call. A server may return it in its response.
+constexpr char kCallIdHeader[] = "Call-Id";
+
 std::string_view MethodName(CoapCode code) {
   constexpr std::array<std::pair<CoapCode, std::string_view>, 4> kMethods{{
       {CoapCode::kGet, "GET"},
@@ -42,6 +42,14 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+// True if the response names another call: the server has sent the answer to an
+// earlier call on the connection a second time. Servers need not name the call.
+bool IsForAnotherCall(const HttpResponse& response, CallId id) {
+  return response.status == ServerCallStatus::kAnswered &&
+         !response.header.empty() &&
+         response.header != std::to_string(ToNumber(id));
+}
+
 ServerResult MakeResult(CallId id, ServerCallStatus status) {
   ServerResult result;
   result.id = id;
@@ -65,15 +73,6 @@
   return ok ? ParseHealth(response.body) : ServerHealth();
 }
 
-// True if the connection is open and has nothing to read, neither data nor
-// end-of-file.
-bool IsIdle(const FileDescriptor& socket) {
-  char byte = 0;
-  return socket.IsOpen() &&
-         recv(socket.Get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-         errno == EAGAIN;
-}
-
 }  // namespace
 
 void ServerClient::Start(TimePoint now, const ServerCall& call) {
@@ -88,7 +87,8 @@
   HttpRequest request;
   request.method = method;
   request.target = EncodeTarget(call.path, call.query);
-  request.headers = {{"Call-Id", std::to_string(ToNumber(call.id))}};
+  request.headers = {{kCallIdHeader, std::to_string(ToNumber(call.id))}};
+  request.response_header = kCallIdHeader;
   request.body = call.body;
   request.max_body_bytes = kMaxServerBodyBytes;
   request.keep_alive = !call.new_connection;
@@ -179,7 +179,7 @@
   while (!this->idle_connections.empty()) {
     IdleConnection last = std::move(this->idle_connections.back());
     this->idle_connections.pop_back();
-    if (last.service == service && IsIdle(last.socket)) {
+    if (last.service == service && IsIdleConnection(last.socket)) {
       return std::move(last.socket);
     }
   }
@@ -260,7 +260,7 @@
     return false;
   }
   FileDescriptor connection = active.exchange.TakeConnection();
-  if (!IsIdle(connection)) {
+  if (!IsIdleConnection(connection)) {
     return false;
   }
   active.stage = Stage::kFinalRequest;
@@ -288,6 +288,12 @@
                           ActiveOperation& active,
                           ServerUpdates& updates) {
   HttpResponse& response = active.exchange.Response();
+  if (active.operation.purpose == Purpose::kCall &&
+      active.stage != Stage::kIdentityCheck &&
+      IsForAnotherCall(response, active.operation.id)) {
+    response.status = ServerCallStatus::kBroken;
+    response.malformed = true;
+  }
   const ServerCallStatus status = Status(active);
   this->counters.server_answers_malformed += response.malformed ? 1 : 0;
   if (status == ServerCallStatus::kAnswered) {
@@ -305,6 +311,7 @@
       result.http_status = response.code;
       result.retry_after_s = response.retry_after_s;
       result.not_run = response.not_run;
+      result.truncated = response.body.size() > kMaxServerBodyBytes;
       result.body.assign(response.body.begin(), response.body.end());
     }
     updates.results.push_back(std::move(result));
--- a/src/shell/server_client.h
+++ b/src/shell/server_client.h
@@ -29,9 +29,9 @@
 
 namespace cactuscross {
 
-// Maximum size of a response body. A longer body is truncated to one byte more,
-// which shows that it was too long.
-inline constexpr std::size_t kMaxServerBodyBytes = 1U << 20U;
+// Maximum size of a response body: the largest that a contract can allow. A
+// longer body is truncated, see ServerResult::truncated.
+inline constexpr std::size_t kMaxServerBodyBytes = 4U << 20U;
 
 // Calls and health checks that have ended since the last Continue().
 struct ServerUpdates {
--- a/src/shell/service_sockets.cc
+++ b/src/shell/service_sockets.cc
@@ -134,8 +134,9 @@
   const auto rejection = MakeRejection(datagram.bytes, code);
   if (rejection) {
     const OutgoingDatagram answer{datagram.source, EncodeCoap(*rejection)};
-    this->counters.caller_datagrams_sent +=
-        socket.Send(gsl::make_span(&answer, 1));
+    const std::size_t sent = socket.Send(gsl::make_span(&answer, 1));
+    this->counters.caller_datagrams_sent += sent;
+    this->counters.datagrams_not_sent += 1 - sent;
   }
 }
 
--- a/tests/core/test_whole_path.cc
+++ b/tests/core/test_whole_path.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(GetIsAnswered);
   CPPUNIT_TEST(PostRunsOnceWithOneTicket);
   CPPUNIT_TEST(LargeAnswerArrivesComplete);
+  CPPUNIT_TEST(TruncatedAnswerIsNoSuccess);
   CPPUNIT_TEST(SessionIsNotified);
   CPPUNIT_TEST(SessionsAreHandedOverWhenServerDrains);
   CPPUNIT_TEST(StoppedAgentDelaysNoRequest);
@@ -75,6 +76,20 @@
     CPPUNIT_ASSERT_EQUAL(0, request.body_restarts);
   }
 
+  // An answer that is longer than what the agent receives must reach neither a
+  // request nor a session as a complete one.
+  void TruncatedAnswerIsNoSuccess() {
+    FakeCaller& caller = this->cluster->AddCaller();
+    caller.Get(kClaims, "truncated", "");
+    caller.Observe(kClaims, "truncated");
+    this->cluster->RunFor(seconds(2));
+    const CallerRequest& request = caller.Requests().at(0);
+    CPPUNIT_ASSERT(request.answered);
+    // 162 is 5.02 (Bad Gateway).
+    CPPUNIT_ASSERT_EQUAL(162, static_cast<int>(request.code));
+    CPPUNIT_ASSERT(caller.Sessions().at(0).value.empty());
+  }
+
   void SessionIsNotified() {
     FakeCaller& caller = this->cluster->AddCaller();
     caller.Observe(kClaims, "jobs");
--- a/tests/flow_processes/run.py
+++ b/tests/flow_processes/run.py
@@ -12,12 +12,13 @@
 import pathlib
 import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
 import time
 
-from standins import Client, Server, Store
+from standins import Client, Server, Store, to_number
 
 DATA_PORT, PEER_PORT, READINESS_PORT, CONTROL_PORT, OUTBOUND_PORT, SERVER_PORT = (
     8172, 7720, 8167, 8166, 8162, 8165)
@@ -213,6 +214,80 @@
                "flow broke")
 
 
+def flow_at(site, name):
+    """Returns an open flow that the server `name` holds."""
+    for _ in range(40):
+        flow = site.client.open(SERVICE_ADDRESS)
+        if flow and flow.exchange(b"who").startswith(name):
+            return flow
+    raise Failure(f"no flow at {name}")
+
+
+def agent_stops_under_load(site):
+    """After SIGTERM, an agent delivers the answers to the requests in progress
+    and exits with 0. New flows go to another server meanwhile."""
+    flow = flow_at(site, "s0")
+    site.servers[0].service_time_s = 0.8
+    flow.send(b"in progress")
+    time.sleep(0.2)
+    site.signal("agent-0", signal.SIGTERM)
+    time.sleep(0.1)
+    other = Client(site.network_prefix + "251", site.client.balancers, DATA_PORT)
+    for _ in range(4):
+        new = other.open(SERVICE_ADDRESS)
+        expect(new and new.exchange(b"new").startswith("s1"),
+               "new flow is not served by s1")
+    packet = site.client.receive(flow, 1.5)
+    expect(packet is not None and packet.data.endswith(b"in progress"),
+           "the request in progress was cut off")
+    expect(site.processes["agent-0"].wait(4) == 0, "agent did not exit with 0")
+
+
+def wrong_service_notice(flow):
+    """Encodes a FlowNotice of the kind kWrongService for `flow` whose packet is
+    too short."""
+    (client, client_port), (service, service_port) = flow.source, flow.service
+
+    def varint(number):
+        encoded = b""
+        while number > 127:
+            encoded += bytes([number & 127 | 128])
+            number >>= 7
+        return encoded + bytes([number])
+
+    return (b"\x08\x06" + b"\x1d" + to_number(client).to_bytes(4, "little") +
+            b"\x20" + varint(client_port) + b"\x2d" +
+            to_number(service).to_bytes(4, "little") + b"\x30" +
+            varint(service_port) + b"\x52\x01\xff" + b"\x5d\x01\0\0\0")
+
+
+def hostile_datagrams(site):
+    """Malformed datagrams and HTTP requests stop no process and break no
+    flow."""
+    flow = flow_at(site, "s0")
+    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sender.bind((site.host("agent-0"), 0))
+    notice = wrong_service_notice(flow)
+    for name in site.processes:
+        host = site.host(name)
+        for port in (DATA_PORT, PEER_PORT, CONTROL_PORT, OUTBOUND_PORT):
+            for _ in range(200):
+                changed = bytearray(notice)
+                changed[random.randrange(len(changed))] = random.randrange(256)
+                for datagram in (notice, bytes(changed), b"",
+                                 random.randbytes(random.randrange(1500))):
+                    sender.sendto(datagram, (host, port))
+        with socket.create_connection((host, READINESS_PORT)) as connection:
+            connection.sendall(b"GET / HTTP/1.1\r\nContent-Length: 9999999999"
+                               b"999999999\r\n\r\n" + random.randbytes(3000))
+    time.sleep(0.5)
+    for name, process in site.processes.items():
+        expect(process.poll() is None, f"{name} has ended")
+        site.wait_ready(name)
+    expect(flow.exchange(b"x") not in (None, "reset"), "flow broke")
+    expect(site.client.open(SERVICE_ADDRESS) is not None, "not served")
+
+
 def server_dies(site):
     """Flows of a failed server are reset soon; new flows go to another one."""
     flows = [site.client.open(SERVICE_ADDRESS) for _ in range(12)]
@@ -354,7 +429,8 @@
         expect(len(line["fields"]["stack"]) > 3, f"{name} logged no stack")
 
 
-SCENARIOS = [flows_are_whole, balancer_is_replaced, agent_is_killed, server_dies,
+SCENARIOS = [flows_are_whole, balancer_is_replaced, agent_is_killed,
+             agent_stops_under_load, hostile_datagrams, server_dies,
              restart_without_store, routes_and_drain, store_is_restored,
              reused_revisions_are_noticed, settings_change, crash_is_logged]
 
--- a/tests/flow_processes/standins.py
+++ b/tests/flow_processes/standins.py
@@ -145,6 +145,7 @@
     def __init__(self, address, outbound, name):
         self.address, self.outbound, self.name = address, outbound, name
         self.flows, self.openings, self.returned_packets = {}, 0, 0
+        self.service_time_s = 0
         self.listener = socket.create_server(address)
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.socket.bind(address)
@@ -173,10 +174,15 @@
                 packet.flags |= BOUNCED
                 packet.mark = (b"\0" * 5, packet.mark[1])
                 self._send(packet)
+            elif packet.data and self.service_time_s == 0:
+                self._answer(packet)
             elif packet.data:
-                self._reply(packet, ACK, packet.ack,
-                            packet.seq + len(packet.data),
-                            self.name.encode() + b":" + packet.data)
+                threading.Timer(self.service_time_s, self._answer,
+                                [packet]).start()
+
+    def _answer(self, packet):
+        self._reply(packet, ACK, packet.ack, packet.seq + len(packet.data),
+                    self.name.encode() + b":" + packet.data)
 
     def _reply(self, packet, flags, seq, ack, data=b""):
         self._send(Packet(flags, packet.destination, packet.source,
@@ -240,12 +246,16 @@
         self.client, self.source, self.service = client, source, service
         self.seq, self.ack = random.randrange(1 << 31), 0
 
+    def send(self, data):
+        """Sends a request without waiting for the answer."""
+        self.client.send(Packet(ACK, self.source, self.service, self.seq,
+                                self.ack, data))
+
     def exchange(self, data, attempts=4):
         """Sends a request and returns the answer, "reset" or None."""
         wait_s = 0.2
         for _ in range(attempts):
-            self.client.send(Packet(ACK, self.source, self.service, self.seq,
-                                    self.ack, data))
+            self.send(data)
             packet = self.client.receive(self, wait_s)
             while packet is not None:
                 if packet.flags & RST:
--- a/tests/platform/test_entry_decoder.cc
+++ b/tests/platform/test_entry_decoder.cc
@@ -64,6 +64,9 @@
   CPPUNIT_TEST(RoutesAreDecoded);
   CPPUNIT_TEST(ListReportsUnreadableEntries);
   CPPUNIT_TEST(WatchReportsRemovals);
+  CPPUNIT_TEST(UnreadableEventIsARemoval);
+  CPPUNIT_TEST(TruncatedListWithoutProgressIsMalformed);
+  CPPUNIT_TEST(IdleTimeoutIsBounded);
   CPPUNIT_TEST(UnparsableBodiesAreMalformed);
   CPPUNIT_TEST(Base64IsDecoded);
   CPPUNIT_TEST_SUITE_END();
@@ -139,6 +142,46 @@
                          answer.servers[0].position.revision);
   }
 
+  // The entry that the event replaces must not remain in use.
+  void UnreadableEventIsARemoval() {
+    const std::string body =
+        R"({"events":[{"key":"servers/a","value":"eyJ4IjoxfQ==","rev":12}],)"
+        R"("at":12})";
+    const StoreAnswer answer =
+        DecodeAnswer(Call(StoreSubject::kServers, StoreCallKind::kWatch), body);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, answer.unreadable.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, answer.servers.size());
+    CPPUNIT_ASSERT(answer.servers[0].removed);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), answer.servers[0].name);
+  }
+
+  // A list that breaks off must not count as complete, since all servers that
+  // it lacks would be unlisted. One that returns the same page again would be
+  // read forever.
+  void TruncatedListWithoutProgressIsMalformed() {
+    StoreCall call = Call(StoreSubject::kServers, StoreCallKind::kList);
+    CPPUNIT_ASSERT(
+        StoreStatus::kMalformed ==
+        DecodeAnswer(call, R"({"items":[],"truncated":true,"at":9})").status);
+    const std::string page =
+        R"({"items":[{"key":"servers/b","value":"","rev":4}],)"
+        R"("truncated":true,"at":9})";
+    call.page_after = "servers/a";
+    CPPUNIT_ASSERT(StoreStatus::kOk == DecodeAnswer(call, page).status);
+    call.page_after = "servers/b";
+    CPPUNIT_ASSERT(StoreStatus::kMalformed == DecodeAnswer(call, page).status);
+  }
+
+  // Larger numbers overflow the internal unit.
+  void IdleTimeoutIsBounded() {
+    std::size_t unreadable = 0;
+    const auto routes =
+        DecodeRoutes(R"({"version":1,"routes":[],)"
+                     R"("limits":{"idleTimeoutMs":18446744073709551615}})",
+                     unreadable);
+    CPPUNIT_ASSERT(Duration(3600000000) == routes->idle_timeout);
+  }
+
   void UnparsableBodiesAreMalformed() {
     for (const char* body : {"", "{}", "{\"items\":5,\"at\":1}",
                              "{\"items\":[],\"at\":\"x\"}", "\xFF\xFE"}) {
--- a/tests/platform/test_packet_codec.cc
+++ b/tests/platform/test_packet_codec.cc
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "platform/packet_codec.h"
+#include "src/shell/flow/notice_packet.h"
 
 namespace cactuscross::platform {
 namespace {
@@ -31,6 +32,8 @@
   CPPUNIT_TEST(ResetIsEncoded);
   CPPUNIT_TEST(MarkIsSetAndRemovedWithoutOtherChanges);
   CPPUNIT_TEST(InvalidLengthsAreRejected);
+  CPPUNIT_TEST(ShortPacketIsNotMarked);
+  CPPUNIT_TEST(NoticeNeedsAPacketOfItsFlow);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -107,6 +110,31 @@
     CPPUNIT_ASSERT(!this->codec.Decode(oversize, false).has_value());
   }
 
+  // A mark must not be written behind the end of a packet that is cut off.
+  void ShortPacketIsNotMarked() {
+    for (std::size_t size = 0; size < kOpening.size(); ++size) {
+      const Bytes cut(size, 0xFF);
+      Bytes bytes = cut;
+      this->codec.SetMark(bytes, {MarkPurpose::kSearch, 7, 9});
+      CPPUNIT_ASSERT(cut == bytes);
+    }
+  }
+
+  // A balancer forwards the packet of a notice, so it must be one, and belong
+  // to the flow that the notice names.
+  void NoticeNeedsAPacketOfItsFlow() {
+    FlowNotice notice;
+    notice.flow = kFlow;
+    CPPUNIT_ASSERT(HasValidPacket(this->codec, notice));
+    notice.packet = kOpening;
+    CPPUNIT_ASSERT(HasValidPacket(this->codec, notice));
+    notice.flow.client.port = 1;
+    CPPUNIT_ASSERT(!HasValidPacket(this->codec, notice));
+    notice.flow = kFlow;
+    notice.packet = {1};
+    CPPUNIT_ASSERT(!HasValidPacket(this->codec, notice));
+  }
+
  private:
   PacketCodec codec;
 };
--- a/tests/shell/fake_http_server.h
+++ b/tests/shell/fake_http_server.h
@@ -94,6 +94,12 @@
   void SetHealthResponse(std::string bytes) {
     this->health_response = std::move(bytes);
   }
+  void SetResponse(std::string bytes) { this->response = std::move(bytes); }
+  // Sends `bytes` although no request asks for them.
+  void SendUnrequested(const std::string& bytes) {
+    this->unsent += bytes;
+    this->SendUnsent();
+  }
 
   // All bytes received over all connections.
   const std::string& AllReceived() const { return this->all_received; }
--- a/tests/shell/test_channels.cc
+++ b/tests/shell/test_channels.cc
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <string>
@@ -114,6 +115,9 @@
   CPPUNIT_TEST(QueueToADeadPeerIsBounded);
   CPPUNIT_TEST(FailedBindIsRetried);
   CPPUNIT_TEST(RejectionsFollowTheRfc);
+  CPPUNIT_TEST(RejectionThatIsNotSentIsCounted);
+  CPPUNIT_TEST(OldestRenewedPathIsReplaced);
+  CPPUNIT_TEST(OldestAlternateSourceIsForgotten);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -340,6 +344,67 @@
     CPPUNIT_ASSERT(entries.empty());
   }
 
+  // Datagrams that the kernel refuses must be counted, whether they answer a
+  // request or reject one.
+  void RejectionThatIsNotSentIsCounted() {
+    ShellCounters counters;
+    ServiceSockets sockets(BalancerSettings{}, counters);
+    const Endpoint address = FreeEndpoint();
+    sockets.Update(kStart, {address});
+    std::vector<pollfd> entries;
+    sockets.AppendPollEntries(entries);
+    auto caller = UdpSocket::Open(Endpoint{kLoopback, 0});
+    const OutgoingDatagram malformed{address,
+                                     Bytes{0x41, 1, 0x12, 0x34, 0xAA, 0x91, 1}};
+    caller->Send(gsl::make_span(&malformed, 1));
+    poll(entries.data(), entries.size(), kMaxPolls);
+    // Makes the kernel refuse all further datagrams of the socket. The call
+    // reports an error because the socket is not connected.
+    shutdown(entries.at(0).fd, SHUT_WR);
+    CPPUNIT_ASSERT(sockets.Receive().empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, counters.caller_datagrams_sent);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, counters.datagrams_not_sent);
+  }
+
+  // The path that was renewed last is the one that most likely still needs its
+  // own port, whatever the id of its node.
+  void OldestRenewedPathIsReplaced() {
+    constexpr std::uint32_t kMaxRenewedPaths = 256;
+    ShellCounters counters;
+    auto receiver = UdpSocket::Open(Endpoint{kLoopback, 0});
+    const Endpoint local = FreeEndpoint();
+    auto channel = PeerChannel::Open(local, counters);
+    // In descending order of the ids, so that the lowest is the newest.
+    for (std::uint32_t i = 0; i <= kMaxRenewedPaths; ++i) {
+      channel->RenewPath(kStart + Duration(i), NodeId{1000 - i});
+    }
+    PeerEnvelope probe = MakeProbe(receiver->Local(), 1);
+    probe.to.node = NodeId{1000};
+    CPPUNIT_ASSERT(SendAndGetSource(*channel, probe, *receiver) == local);
+    probe.to.node = NodeId{1000 - kMaxRenewedPaths + 1};
+    CPPUNIT_ASSERT(SendAndGetSource(*channel, probe, *receiver) != local);
+  }
+
+  // The table of source ports is bounded. When it is full of nodes that have
+  // gone, the new port of another node must still renew the path to it.
+  void OldestAlternateSourceIsForgotten() {
+    constexpr std::uint32_t kMaxAlternateSources = 4096;
+    ShellCounters counters;
+    const Endpoint local = FreeEndpoint();
+    auto channel = PeerChannel::Open(local, counters);
+    auto new_port = UdpSocket::Open(Endpoint{kLoopback, 0});
+    PeerEnvelope probe = MakeProbe(local, 1);
+    probe.from.endpoint = FreeEndpoint();
+    for (std::uint32_t i = 1; i <= kMaxAlternateSources + 1; ++i) {
+      probe.from.node = NodeId{i};
+      const OutgoingDatagram datagram{local, EncodeEnvelope(probe)};
+      new_port->Send(gsl::make_span(&datagram, 1));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, WaitFor(*channel, 1).size());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{kMaxAlternateSources + 1},
+                         counters.paths_renewed);
+  }
+
   // RFC 7252, 4.2 and 5.4.1: a confirmable request with an unknown critical
   // option is answered by 4.02, any other confirmable message that cannot be
   // decoded by a Reset.
--- a/tests/shell/test_observation.cc
+++ b/tests/shell/test_observation.cc
@@ -17,6 +17,8 @@
   CPPUNIT_TEST(MetricsAreGroupedByName);
   CPPUNIT_TEST(ContractsAreRead);
   CPPUNIT_TEST(HostsAreRead);
+  CPPUNIT_TEST(HostOfAnUnknownRoleIsIgnored);
+  CPPUNIT_TEST(NodeNumberAbove32BitsIsMalformed);
   CPPUNIT_TEST(MalformedResponsesAreNotOk);
   CPPUNIT_TEST(UnreachablePlatformIsNotOk);
   CPPUNIT_TEST_SUITE_END();
@@ -61,6 +63,26 @@
                          ToString(result.hosts[0].peer.endpoint));
   }
 
+  // A host of a role that this version does not know must not get the messages
+  // for balancers.
+  void HostOfAnUnknownRoleIsIgnored() {
+    const PlatformResult result = ParsePlatformResponse(
+        PlatformReadKind::kReadHosts, MakeHosts("7", "archive"));
+    CPPUNIT_ASSERT(result.ok);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, result.hosts.size());
+    CPPUNIT_ASSERT(result.hosts[0].peer.role == Role::kBalancer);
+  }
+
+  // 4294967297 has the lower 32 bits of node 1, which is another host.
+  void NodeNumberAbove32BitsIsMalformed() {
+    CPPUNIT_ASSERT(ParsePlatformResponse(PlatformReadKind::kReadHosts,
+                                         MakeHosts("4294967295", "agent"))
+                       .ok);
+    CPPUNIT_ASSERT(!ParsePlatformResponse(PlatformReadKind::kReadHosts,
+                                          MakeHosts("4294967297", "agent"))
+                        .ok);
+  }
+
   void MalformedResponsesAreNotOk() {
     const std::string oversize(2U << 20U, 'x');
     for (const std::string& body :
@@ -94,6 +116,16 @@
     }
     CPPUNIT_ASSERT(!results[0].ok);
   }
+
+ private:
+  // Returns a list of a balancer and another host.
+  static std::string MakeHosts(const std::string& node,
+                               const std::string& role) {
+    const std::string rest =
+        R"(,"zone":"z","address":"127.0.0.1:7001","state":"live"})";
+    return R"({"hosts":[{"node":2,"role":"balancer")" + rest + R"(,{"node":)" +
+           node + R"(,"role":")" + role + "\"" + rest + "]}";
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ObservationTest);
--- a/tests/support/fake_server.cc
+++ b/tests/support/fake_server.cc
@@ -12,6 +12,8 @@
 constexpr Duration kHangRecheckInterval = std::chrono::milliseconds(100);
 constexpr Duration kAnswerDelay = std::chrono::milliseconds(1);
 constexpr std::string_view kLargePath = "diagram/";
+// Requests whose answer is longer than what the shell receives.
+constexpr std::string_view kTruncatedPath = "truncated";
 
 Bytes ToBytes(const std::string& text) {
   return {text.begin(), text.end()};
@@ -167,6 +169,7 @@
       this->service, found->call.method, found->call.path, found->call.query,
       std::string(found->call.body.begin(), found->call.body.end()),
       this->ledger.data_version[this->service]));
+  result.truncated = found->call.path == kTruncatedPath;
   this->Answer(*found, result);
   this->calls.erase(found);
   this->StartQueuedCalls();
