--- a/src/core/flow/balancer/flow_balancer.cc
+++ b/src/core/flow/balancer/flow_balancer.cc
@@ -542,6 +542,8 @@
       std::chrono::duration<double>(this->response_timeout.Current()).count());
   gauge("flow_search_window_bytes",
         static_cast<double>(this->searcher.CongestionWindow().Window()));
+  gauge("flow_former_services_known",
+        this->view.Routes().KnowsFormerServices(this->now) ? 1 : 0);
   gauge("flow_servers", static_cast<double>(this->view.Servers().All().size()));
   gauge("flow_routes", static_cast<double>(this->view.Routes().Size()));
   gauge("flow_routes_version",
--- a/tests/support/flow_simulation.cc
+++ b/tests/support/flow_simulation.cc
@@ -171,9 +171,8 @@
 }
 
 void FlowSimulation::SetStoreDown(bool down, bool silent) {
+  this->impl->NoteStoreUnsettled(Duration{0});
   this->impl->store_down = down;
-  this->impl->store_settled_at =
-      std::max(this->impl->store_settled_at, this->link.Now());
   this->impl->store_silent = silent;
 }
 
--- a/tests/support/flow_simulation_impl.h
+++ b/tests/support/flow_simulation_impl.h
@@ -160,6 +160,8 @@
   // it, or did so until shortly before now.
   bool MayOpenAt(std::uint16_t port, const std::string& service) const;
   void RestoreStore(Duration copy_age);
+  // The store is down, or will have the newest routes after `time`.
+  void NoteStoreUnsettled(Duration time);
 
   void StartRequest(std::size_t kind, std::size_t user);
   void ScheduleRequests(std::size_t kind);
@@ -188,9 +190,12 @@
   std::uint64_t history_start_revision = 0;
   std::uint64_t store_era = 1;
   std::vector<RoutesEntry> routes_history;  // in order of version
+  std::vector<RoutesEntry> written_routes;  // all that the operator has written
   bool store_down = false;
   bool store_silent = false;
-  // Since then the store answers and has the newest routes.
+  // The last period in which the store was down or lacked the newest routes,
+  // possibly for several reasons.
+  TimePoint store_unsettled_since;
   TimePoint store_settled_at;
   std::uint64_t store_calls = 0;
   std::map<std::uint64_t, ClientFlow> flows;
--- a/tests/support/flow_simulation_store.cc
+++ b/tests/support/flow_simulation_store.cc
@@ -46,6 +46,7 @@
   ++this->revision;
   this->routes_history.push_back(
       {this->routes_version, this->simulation.link.Now(), this->routes});
+  this->written_routes.push_back(this->routes_history.back());
 }
 
 bool FlowSimulation::Impl::MayOpenAt(std::uint16_t port,
@@ -58,23 +59,34 @@
                          return share.service == service;
                        });
   };
-  if (this->store_down || names(this->routes)) {
+  if (names(this->routes)) {
     return true;
   }
-  // A version is in force until a newer one has reached all balancers, which
-  // takes a store that answers and has the newest one.
-  for (std::size_t i = 0; i + 1 < this->routes_history.size(); ++i) {
-    const TimePoint replaced_at = std::max(
-        this->store_settled_at, this->routes_history[i + 1].written_at);
-    const Duration replaced_for = this->simulation.link.Now() - replaced_at;
-    if (replaced_for <= kRouteChangeTime &&
-        names(this->routes_history[i].routes)) {
+  // A version is in force until a newer one has reached all balancers. This may
+  // wait for the store to answer and to have the newest one.
+  const TimePoint now = this->simulation.link.Now();
+  for (std::size_t i = 0; i + 1 < this->written_routes.size(); ++i) {
+    TimePoint replaced_at = this->written_routes[i + 1].written_at;
+    if (replaced_at + kRouteChangeTime >= this->store_unsettled_since) {
+      replaced_at = std::max(replaced_at,
+                             this->store_down ? now : this->store_settled_at);
+    }
+    if (now - replaced_at <= kRouteChangeTime &&
+        names(this->written_routes[i].routes)) {
       return true;
     }
   }
   return false;
 }
 
+void FlowSimulation::Impl::NoteStoreUnsettled(Duration time) {
+  const TimePoint now = this->simulation.link.Now();
+  if (!this->store_down && now > this->store_settled_at + kRouteChangeTime) {
+    this->store_unsettled_since = now;
+  }
+  this->store_settled_at = std::max(this->store_settled_at, now + time);
+}
+
 void FlowSimulation::Impl::RestoreStore(Duration copy_age) {
   Link& link = this->simulation.link;
   const TimePoint copied_at = link.Now() - copy_age;
@@ -94,7 +106,7 @@
   this->history_start_revision =
       std::min(this->history_start_revision, this->revision);
   ++this->store_era;
-  this->store_settled_at = link.Now() + kOperatorWritesAgain;
+  this->NoteStoreUnsettled(kOperatorWritesAgain);
   for (std::size_t i = 0; i < this->servers.size(); ++i) {
     link.Schedule(link.GetRandom().Between(Duration{0}, kServersWriteAgain),
                   [this, i, incarnation = this->servers[i].incarnation] {
