Lookup timeouts look at the datagrams that are due only

Cause: at each tick a balancer looked at the state of every agent that it had ever queried, 11,000 at the planned size.

Change: LookupBatcher keeps its datagrams in the order in which they were sent.

--- a/src/core/flow/search/lookup_batcher.cc
+++ b/src/core/flow/search/lookup_batcher.cc
@@ -82,6 +82,7 @@
       congestion_window.NoteSent(datagram.Bytes());
       agent.in_flight = datagram;
       agent.last_sent_at = now;
+      this->sent.push_back({server, now});
       datagrams.push_back(std::move(datagram));
     }
   }
@@ -124,15 +125,21 @@
     SearchCongestionWindow& congestion_window) {
   std::vector<LookupDatagram> timed_out;
   std::size_t bytes = 0;
-  for (auto& [server, agent] : this->agents) {
-    if (agent.in_flight.targets.empty() ||
-        now - agent.in_flight.sent_at < response_timeout) {
+  while (!this->sent.empty() &&
+         now - this->sent.front().sent_at >= response_timeout) {
+    const Sent oldest = this->sent.front();
+    this->sent.pop_front();
+    const auto found = this->agents.find(oldest.server);
+    if (found == this->agents.end() ||
+        found->second.in_flight.targets.empty() ||
+        found->second.in_flight.sent_at != oldest.sent_at) {
       continue;
     }
+    Agent& agent = found->second;
     bytes += agent.in_flight.Bytes();
     agent.timed_out = std::exchange(agent.in_flight, {});
     timed_out.push_back(agent.timed_out);
-    this->AddToReady(server, agent);
+    this->AddToReady(oldest.server, agent);
   }
   if (!timed_out.empty()) {
     congestion_window.NoteTimeout(
--- a/src/core/flow/search/lookup_batcher.h
+++ b/src/core/flow/search/lookup_batcher.h
@@ -98,6 +98,13 @@
   std::unordered_map<ServerKey, Agent> agents;
   // Agents with queued lookups and no datagram in flight, FIFO.
   std::deque<ServerKey> ready;
+  // Datagrams in the order in which they were sent; they leave the list after
+  // the response timeout, answered or not.
+  struct Sent {
+    ServerKey server = kNoServer;
+    TimePoint sent_at;
+  };
+  std::deque<Sent> sent;
   // Datagrams answered since the last ones that timed out.
   std::size_t answered = 0;
 };
