--- a/tests/flow/test_flow_searcher.cc
+++ b/tests/flow/test_flow_searcher.cc
@@ -235,6 +235,7 @@
     denial.kind = NoticeKind::kNotHeld;
     denial.flow = kFlow;
     denial.packet = this->bytes;
+    denial.acknowledgement = this->MakePacket().acknowledgement;
     lookups = Lookups(this->bed.Receive(denial, lookups[0].host));
     CPPUNIT_ASSERT_EQUAL(std::size_t{kServers}, lookups.size());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->Deny(lookups, 0, kServers));
--- a/tests/support/flow_simulation_store.cc
+++ b/tests/support/flow_simulation_store.cc
@@ -95,7 +95,7 @@
 
 void FlowSimulation::Impl::NoteStoreUnsettled(Duration time) {
   const TimePoint now = this->simulation.link.Now();
-  if (now > this->store_settled_at + kRouteChangeTime) {
+  if (!this->store_down && now > this->store_settled_at + kRouteChangeTime) {
     this->store_unsettled_since = now;
   }
   this->store_settled_at = std::max(this->store_settled_at, now + time);
