Flow path: admission of waiting openings by priority and deadline

Cause: while all servers of a service are saturated, the newest opening is placed first whatever its priority, one that cannot be answered in time waits for half of its time limit, and a caller that asks for much delays all others. Change: openings that wait are kept by a policy. NewestFirst is the one that was there. PriorityAdmission (settings key priority_admission) orders by priority and deadline, refuses at once what cannot be answered within its limit, gives one of eight placements to the lower priorities, keeps a reserve for higher ones and orders callers that have got their max-min fair share behind the others. A tick offers openings until the first one finds all servers saturated, and no longer all of them. Repeated requests of refused openings are matched one by one.

--- /dev/null
+++ b/src/core/flow/admission/admission_policy.h
@@ -0,0 +1,87 @@
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_ADMISSION_ADMISSION_POLICY_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_ADMISSION_ADMISSION_POLICY_H_
+
+// Decides which of the openings that wait for free capacity is placed next, and
+// which are refused. Load: more openings than free slots for seconds at a time,
+// and up to 4,096 of them at once after an outage.
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "cactuscross/types.h"
+#include "src/core/common/metric_set.h"
+#include "src/core/flow/admission/opening_table.h"
+
+namespace cactuscross {
+
+enum class OfferResult : std::uint8_t {
+  kPlaced,
+  kSaturated,  // all eligible servers are saturated; the opening still waits
+  kErased,     // no server is eligible; the opening was refused and erased
+};
+
+// Why an opening is refused, for the event.
+struct AdmissionRefusal {
+  std::string_view reason;  // "saturated", "deadline" or "fair_share"
+  std::optional<std::uint32_t>
+      ahead;  // openings that would be placed before it
+  std::string detail;
+};
+
+// What a policy has done with waiting openings; implemented by the balancer.
+class AdmissionActions {
+ public:
+  virtual ~AdmissionActions() = default;
+
+  // Sends a waiting opening to a server that has free capacity. With
+  // `keep_reserve`, a part of each server's capacity does not count as free.
+  virtual OfferResult Place(Opening& opening, bool keep_reserve) = 0;
+  // Refuses a waiting opening and erases it.
+  virtual void Refuse(Opening& opening, const AdmissionRefusal& refusal) = 0;
+  // Reports that the opening waits behind `Opening::ahead` others.
+  virtual void ReportWaiting(const Opening& opening) = 0;
+};
+
+class AdmissionPolicy {
+ public:
+  virtual ~AdmissionPolicy() = default;
+
+  // Records a new opening. Returns whether it may be sent to a server at once;
+  // otherwise it was queued.
+  virtual bool Admit(TimePoint now, Opening& opening) = 0;
+  // Queues an opening that found all servers saturated. Returns whether this
+  // has to be reported now; otherwise Tick() does.
+  virtual bool Enqueue(TimePoint now, Opening& opening) = 0;
+  // True if the opening must leave a part of the servers' capacity free.
+  virtual bool MustKeepReserve(TimePoint now, const Opening& opening) const = 0;
+
+  // The opening was sent to a server.
+  virtual void NotePlaced(TimePoint now, Opening& opening) = 0;
+  // The agent sent the opening back, because its server is saturated.
+  virtual void NoteReturned(TimePoint now, const Opening& opening) = 0;
+  virtual void NoteAccepted(TimePoint now, const Opening& opening) = 0;
+  // The opening is refused and its client reset. Returns whether the policy
+  // recognizes the repetition of the request (RepeatedRequestStart()).
+  virtual bool NoteReset(TimePoint now, const Opening& opening) = 0;
+  // Start of the request that a client repeats in a new flow after a reset;
+  // nullopt if unknown.
+  virtual std::optional<TimePoint> RepeatedRequestStart(
+      TimePoint now,
+      const FlowKey& flow) = 0;
+
+  // Refuses and places waiting openings.
+  virtual void Tick(TimePoint now, AdmissionActions& actions) = 0;
+};
+
+// Returns the policy that places by priority and deadline, or the one that
+// places the newest request first. The arguments must outlive it.
+std::unique_ptr<AdmissionPolicy> MakeAdmissionPolicy(bool by_priority,
+                                                     OpeningTable& openings,
+                                                     MetricSet& metrics);
+
+}  // namespace cactuscross
+
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_ADMISSION_ADMISSION_POLICY_H_
--- /dev/null
+++ b/src/core/flow/admission/newest_first.h
@@ -0,0 +1,42 @@
+#ifndef CACTUSCROSS_SRC_CORE_FLOW_ADMISSION_NEWEST_FIRST_H_
+#define CACTUSCROSS_SRC_CORE_FLOW_ADMISSION_NEWEST_FIRST_H_
+
+// Places the newest request first, and refuses an opening after half of its
+// time limit (MaxWait()). Every waiting opening is offered in each tick.
+
+#include "src/core/flow/admission/admission_policy.h"
+
+namespace cactuscross {
+
+class NewestFirst : public AdmissionPolicy {
+ public:
+  explicit NewestFirst(OpeningTable& openings) : openings(openings) {}
+
+  bool Admit(TimePoint /*now*/, Opening& /*opening*/) override { return true; }
+  bool Enqueue(TimePoint /*now*/, Opening& /*opening*/) override {
+    return true;
+  }
+  bool MustKeepReserve(TimePoint /*now*/,
+                       const Opening& /*opening*/) const override {
+    return false;
+  }
+  void NotePlaced(TimePoint /*now*/, Opening& /*opening*/) override {}
+  void NoteReturned(TimePoint /*now*/, const Opening& /*opening*/) override {}
+  void NoteAccepted(TimePoint /*now*/, const Opening& /*opening*/) override {}
+  bool NoteReset(TimePoint /*now*/, const Opening& /*opening*/) override {
+    return false;
+  }
+  std::optional<TimePoint> RepeatedRequestStart(
+      TimePoint /*now*/,
+      const FlowKey& /*flow*/) override {
+    return std::nullopt;
+  }
+  void Tick(TimePoint now, AdmissionActions& actions) override;
+
+ private:
+  OpeningTable& openings;
+};
+
+}  // namespace cactuscross
+
+#endif  // CACTUSCROSS_SRC_CORE_FLOW_ADMISSION_NEWEST_FIRST_H_
--- a/src/core/flow/admission/opening_table.cc
+++ b/src/core/flow/admission/opening_table.cc
@@ -5,12 +5,14 @@
 namespace cactuscross {
 namespace {
 
-// A client abandons an opening after 1.4 s. It is reset earlier so that it can
-// try again.
-constexpr Duration kMaxWait{1200000};
 // Part of a request's time limit that its opening may wait.
 constexpr int kWaitDivisor = 2;
 
+// Part of the latency target that the answer takes once a loaded server has the
+// request. A server gets up to two requests per slot, so a request takes about
+// two service times; the deployments' targets are 6 to 20 service times.
+constexpr int kAnswerTimeDivisor = 2;
+
 // A transmission may arrive this long after the expected time.
 constexpr Duration kMaxTransitDelay{50000};
 
@@ -42,6 +44,18 @@
   return true;
 }
 
+void SetPlacementTimes(Opening& opening,
+                       Duration latency_target,
+                       Duration time_limit) {
+  const Duration limit = time_limit == Duration{0} ? kMaxWait : time_limit;
+  const Duration target =
+      latency_target == Duration{0} ? limit / kWaitDivisor : latency_target;
+  const Duration answer_time = std::min(target, limit) / kAnswerTimeDivisor;
+  opening.place_by_for_target =
+      opening.request_started_at + target - answer_time;
+  opening.place_by_for_limit = opening.request_started_at + limit - answer_time;
+}
+
 Duration MaxWait(Duration time_limit) {
   return time_limit == Duration{0}
              ? kMaxWait
--- a/src/core/flow/admission/opening_table.h
+++ b/src/core/flow/admission/opening_table.h
@@ -9,13 +9,23 @@
 #include <cstdint>
 #include <vector>
 
+#include <boost/intrusive/list_hook.hpp>
+#include <boost/intrusive/set_hook.hpp>
+
 #include "cactuscross/flow_types.h"
 #include "cactuscross/flow_view.h"
 #include "src/core/flow/common/flow_table.h"
 
 namespace cactuscross {
 
-struct Opening {
+// Hooks of the queue that an opening waits in (ServiceQueue). An opening that
+// is erased from its table leaves the queue by itself.
+using OpeningOrderHook = boost::intrusive::set_base_hook<
+    boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+using OpeningArrivalHook = boost::intrusive::list_base_hook<
+    boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
+struct Opening : OpeningOrderHook, OpeningArrivalHook {
   FlowKey flow;
   ServiceId service = kNoService;
   Bytes packet;
@@ -27,8 +37,17 @@
   // server, the newest is placed first: it can still be answered in time, while
   // an old one is already late.
   TimePoint request_started_at;
-  bool waiting = false;  // all servers are saturated
-  Duration max_wait{0};  // for a server, from `started_at`
+  bool waiting = false;        // all servers are saturated
+  Duration max_wait{0};        // for a server, from `started_at`
+  std::uint32_t priority = 0;  // of the route; 0 is the highest
+  // Latest times to send the opening to a server so that the answer meets the
+  // latency target and the time limit of the route. See SetPlacementTimes().
+  TimePoint place_by_for_target;
+  TimePoint place_by_for_limit;
+  TimePoint queued_at;  // when it began to wait for free capacity
+  // Openings that are placed before it, as of the last review of the queue.
+  std::uint32_t ahead = 0;
+  bool wait_reported = false;
   // Bit i is set if the client's transmission i arrived here.
   std::uint32_t seen_transmissions = 0;
 };
@@ -46,6 +65,18 @@
 // opened the flow meanwhile, and a reset would end an open flow.
 bool HasAllTransmissions(TimePoint now, const Opening& opening);
 
+// Sets the latest placement times of an opening from `request_started_at` and
+// the route's latency target and time limit, either of which may be 0
+// (unknown).
+void SetPlacementTimes(Opening& opening,
+                       Duration latency_target,
+                       Duration time_limit);
+
+// Maximum time that an opening waits for a server, whatever its request allows.
+// A client abandons an opening after 1.4 s. It is reset earlier, so that it can
+// try again.
+inline constexpr Duration kMaxWait{1200000};
+
 // Maximum time that an opening of a request with this time limit waits for a
 // server (0: unknown). The client is then told that the request has not run,
 // with enough of its time left for another attempt.
--- a/src/core/flow/balancer/flow_balancer.cc
+++ b/src/core/flow/balancer/flow_balancer.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "src/core/common/metric_set.h"
+#include "src/core/flow/admission/admission_policy.h"
 #include "src/core/flow/admission/opening_table.h"
 #include "src/core/flow/common/response_timeout.h"
 #include "src/core/flow/forwarding/early_packets.h"
@@ -42,12 +43,15 @@
 
 }  // namespace
 
-class FlowBalancer::Impl {
+class FlowBalancer::Impl : private AdmissionActions {
  public:
   Impl(const FlowBalancerSettings& settings, std::uint64_t seed)
       : settings(settings),
         view(seed, settings.node.flow_max_age),
         gossip(settings),
+        admission(MakeAdmissionPolicy(settings.priority_admission,
+                                      openings,
+                                      metrics)),
         sender(this->settings),
         searcher(view, gossip, sender, metrics) {}
 
@@ -63,7 +67,6 @@
   void ReadEarlyPackets();
   void ReadPackets(const std::vector<FlowPacket>& packets);
   void ProcessOpeningTimeouts();
-  void RetryWaitingOpenings();
   void QueryAgents();
   void UpdateReadiness(bool stop_requested);
 
@@ -86,15 +89,22 @@
 
   // Estimates the start time of the client's request for which a flow is
   // opened.
-  TimePoint RequestStartTime(const FlowPacket& packet,
-                             TimePoint arrived_at) const;
+  TimePoint RequestStartTime(const FlowPacket& packet, TimePoint arrived_at);
   // Sends the opening to the next server, or refuses it if none is left. While
   // all servers are saturated the opening waits.
   void SendToNextServer(Opening& opening, std::string_view reason);
+  OfferResult SendToNextServer(Opening& opening,
+                               std::string_view reason,
+                               bool keep_reserve);
   // Drops an opening that no server accepts. Resets the client unless another
   // balancer may have opened the flow.
   void RefuseOpening(const Opening& opening, std::string_view reason);
 
+  // AdmissionActions:
+  OfferResult Place(Opening& opening, bool keep_reserve) override;
+  void Refuse(Opening& opening, const AdmissionRefusal& refusal) override;
+  void ReportWaiting(const Opening& opening) override;
+
   std::string NameOfServer(ServerKey key);
 
   const FlowBalancerSettings settings;
@@ -103,6 +113,7 @@
   ViewGossip gossip;
   FlowCache cache;
   OpeningTable openings;
+  std::unique_ptr<AdmissionPolicy> admission;
   ResponseTimeout response_timeout;
   FlowSender sender;
   FlowSearcher searcher;
@@ -128,7 +139,7 @@
   this->ReadPackets(inbox.packets);
   this->ProcessOpeningTimeouts();
   // After the packets, since a new request has priority over waiting ones.
-  this->RetryWaitingOpenings();
+  this->admission->Tick(now, *this);
   this->searcher.ProcessTimeouts(now, this->response_timeout.Current());
   this->QueryAgents();
   this->UpdateReadiness(inbox.stop_requested);
@@ -201,6 +212,7 @@
   event.age = this->now - opening->started_at;
   this->metrics.Observe("flow_opening_ms", event.age->count() / 1000.0);
   this->response_timeout.NoteAnswered(this->now);
+  this->admission->NoteAccepted(this->now, *opening);
   this->cache.Put(this->now, notice.flow, server);
   this->openings.Erase(notice.flow);
 }
@@ -229,6 +241,7 @@
   if (opening != nullptr && !opening->waiting) {
     this->response_timeout.NoteAnswered(this->now);
     opening->attempted_servers.pop_back();
+    this->admission->NoteReturned(this->now, *opening);
     this->SendToNextServer(*opening, "server_saturated");
   }
 }
@@ -342,11 +355,21 @@
   opening->started_at = arrived_at;
   NoteTransmission(*opening, packet.retransmit_count);
   opening->request_started_at = this->RequestStartTime(packet, arrived_at);
-  this->SendToNextServer(*opening, "new_flow");
+  opening->priority = route.priority;
+  SetPlacementTimes(*opening, route.latency_target, route.time_limit);
+  if (this->admission->Admit(this->now, *opening)) {
+    this->SendToNextServer(*opening, "new_flow");
+  }
 }
 
 TimePoint FlowBalancer::Impl::RequestStartTime(const FlowPacket& packet,
-                                               TimePoint arrived_at) const {
+                                               TimePoint arrived_at) {
+  if (packet.retransmit_count == 0) {
+    if (const auto started_at =
+            this->admission->RepeatedRequestStart(this->now, packet.flow)) {
+      return *started_at;
+    }
+  }
   if (const auto reset = this->sender.LastResetAt(packet.flow.client.address)) {
     // The client repeats the request of the flow that was reset.
     return *reset - kResetRequestAge;
@@ -358,27 +381,37 @@
 
 void FlowBalancer::Impl::SendToNextServer(Opening& opening,
                                           std::string_view reason) {
+  this->SendToNextServer(opening, reason,
+                         this->admission->MustKeepReserve(this->now, opening));
+}
+
+OfferResult FlowBalancer::Impl::SendToNextServer(Opening& opening,
+                                                 std::string_view reason,
+                                                 bool keep_reserve) {
   ServerTable& servers = this->view.Servers();
   if (opening.attempted_servers.size() >= kMaxAttempts) {
     this->RefuseOpening(opening, reason);
-    return;
+    return OfferResult::kErased;
   }
-  const Placement placement =
-      PlaceFlow(this->now, servers, opening.service, opening.flow,
-                this->settings.node.zone, opening.attempted_servers);
+  const Placement placement = PlaceFlow(
+      this->now, servers, opening.service, opening.flow,
+      this->settings.node.zone, opening.attempted_servers, keep_reserve);
   if (placement.status == PlacementStatus::kNoServer) {
     this->RefuseOpening(
         opening, opening.attempted_servers.empty() ? "no_server" : reason);
-    return;
+    return OfferResult::kErased;
   }
   if (placement.status == PlacementStatus::kSaturated) {
     if (!opening.waiting) {
       opening.waiting = true;
-      this->sender.Report(FlowEventKind::kWaiting, opening.flow).count =
-          static_cast<std::uint32_t>(opening.attempted_servers.size());
+      if (this->admission->Enqueue(this->now, opening)) {
+        this->sender.Report(FlowEventKind::kWaiting, opening.flow).count =
+            static_cast<std::uint32_t>(opening.attempted_servers.size());
+      }
     }
-    return;
+    return OfferResult::kSaturated;
   }
+  this->admission->NotePlaced(this->now, opening);
   opening.waiting = false;
   const ServerKey key = placement.server;
   ServerEntry& entry = *servers.Find(key);
@@ -398,6 +431,7 @@
   opening.attempted_servers.push_back(key);
   opening.sent_at = this->now;
   this->sender.Forward(entry, MarkPurpose::kOpening, opening.packet);
+  return OfferResult::kPlaced;
 }
 
 void FlowBalancer::Impl::RefuseOpening(const Opening& opening,
@@ -408,7 +442,11 @@
   event.count = static_cast<std::uint32_t>(opening.attempted_servers.size());
   event.age = this->now - opening.started_at;
   if (HasAllTransmissions(this->now, opening)) {
-    this->sender.Reset(flow, 0);
+    if (this->admission->NoteReset(this->now, opening)) {
+      this->sender.Outbox().resets.push_back({flow, 0});
+    } else {
+      this->sender.Reset(flow, 0);
+    }
   } else {
     event.detail =
         "client not reset: another balancer may have opened the flow";
@@ -453,15 +491,26 @@
   }
 }
 
-void FlowBalancer::Impl::RetryWaitingOpenings() {
-  for (const FlowKey& flow : this->openings.WaitTimedOut(this->now)) {
-    this->RefuseOpening(*this->openings.Find(flow), "saturated");
-  }
-  for (const FlowKey& flow : this->openings.WaitingFlows()) {
-    this->SendToNextServer(*this->openings.Find(flow), "waited");
+OfferResult FlowBalancer::Impl::Place(Opening& opening, bool keep_reserve) {
+  return this->SendToNextServer(opening, "waited", keep_reserve);
+}
+
+void FlowBalancer::Impl::Refuse(Opening& opening,
+                                const AdmissionRefusal& refusal) {
+  this->RefuseOpening(opening, refusal.reason);
+  FlowEvent& event = this->sender.Outbox().events.back();
+  event.count = refusal.ahead.has_value() ? refusal.ahead : event.count;
+  if (event.detail.empty()) {
+    event.detail = refusal.detail;
   }
 }
 
+void FlowBalancer::Impl::ReportWaiting(const Opening& opening) {
+  FlowEvent& event = this->sender.Report(FlowEventKind::kWaiting, opening.flow);
+  event.count = opening.ahead;
+  event.age = this->now - opening.started_at;
+}
+
 void FlowBalancer::Impl::QueryAgents() {
   std::size_t queries = 0;
   for (auto& [key, entry] : this->view.Servers().All()) {
--- a/src/core/flow/placement/placement.cc
+++ b/src/core/flow/placement/placement.cc
@@ -20,6 +20,10 @@
 // keeps within the response times that operators require.
 constexpr std::uint32_t kMaxLoadPerSlot = 2;
 
+// Part of a server's slots that flows of the lowest priority leave free while
+// those of higher ones have to wait; at least one request.
+constexpr std::uint32_t kReserveDivisor = 4;
+
 // A server that has just started takes up to twice as long for a request.
 constexpr double kWarmupLoadFactor = 2.0;
 
@@ -62,8 +66,10 @@
   return kMaxLoadPerSlot * entry.server.slots;
 }
 
-bool IsSaturated(const ServerEntry& entry) {
-  return entry.load.running + entry.placed >= MaxRunning(entry);
+bool IsSaturated(const ServerEntry& entry, bool keep_reserve) {
+  const std::uint32_t reserve =
+      keep_reserve ? std::max(entry.server.slots / kReserveDivisor, 1U) : 0;
+  return entry.load.running + entry.placed + reserve >= MaxRunning(entry);
 }
 
 Placement PlaceFlow(TimePoint now,
@@ -71,7 +77,8 @@
                     ServiceId service,
                     const FlowKey& flow,
                     std::string_view own_zone,
-                    const std::vector<ServerKey>& excluded) {
+                    const std::vector<ServerKey>& excluded,
+                    bool keep_reserve) {
   Placement best;
   ServerKey suspected = kNoServer;
   double best_score = 0;
@@ -86,7 +93,7 @@
       suspected = suspected == kNoServer ? key : suspected;
       continue;
     }
-    if (IsSaturated(entry)) {
+    if (IsSaturated(entry, keep_reserve)) {
       best.status = compared == 0 ? PlacementStatus::kSaturated : best.status;
       continue;
     }
--- a/src/core/flow/placement/placement.h
+++ b/src/core/flow/placement/placement.h
@@ -26,8 +26,8 @@
 std::uint32_t MaxRunning(const ServerEntry& entry);
 
 // True if another request would wait on the server for longer than roughly one
-// service time.
-bool IsSaturated(const ServerEntry& entry);
+// service time. With `keep_reserve`, a part of its capacity does not count.
+bool IsSaturated(const ServerEntry& entry, bool keep_reserve = false);
 
 enum class PlacementStatus : std::uint8_t {
   kPlaced,
@@ -41,13 +41,16 @@
 };
 
 // Selects a server for `flow` that accepts new flows and is not in `excluded`.
-// Suspected servers are used only if there is no other one.
+// Suspected servers are used only if there is no other one. With
+// `keep_reserve`, servers are saturated before they reach MaxRunning(): a
+// quarter of their slots is left to other flows.
 Placement PlaceFlow(TimePoint now,
                     ServerTable& servers,
                     ServiceId service,
                     const FlowKey& flow,
                     std::string_view own_zone,
-                    const std::vector<ServerKey>& excluded);
+                    const std::vector<ServerKey>& excluded,
+                    bool keep_reserve = false);
 
 }  // namespace cactuscross
 
