Admission: repeated requests are matched one by one, measured answer time

Cause: after a reset, all new openings of the client's address within 100 ms counted as 600 ms old, so that with many clients behind one address nearly all openings counted as late and were placed oldest first. Half of the latency target was assumed for the answer even where the agent measures its server. Change: with priority admission, lost flows and refused openings are matched with one new opening each. The answer time comes from the agents' measured capacity where it is known. The flow simulation can run with priority admission.

--- a/src/core/flow/admission/admission_policy.h
+++ b/src/core/flow/admission/admission_policy.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <string_view>
 
-#include "cactuscross/types.h"
+#include "cactuscross/flow_types.h"
 #include "src/core/common/metric_set.h"
 #include "src/core/flow/admission/opening_table.h"
 
@@ -58,16 +58,21 @@
   // True if the opening must leave a part of the servers' capacity free.
   virtual bool MustKeepReserve(TimePoint now, const Opening& opening) const = 0;
 
-  // The opening was sent to a server.
+  // Usual time from placement to answer at the service; 0: unknown.
+  virtual Duration AnswerTime(ServiceId service) const = 0;
+
+  // The opening was sent to a server; `Opening::answer_time` is set.
   virtual void NotePlaced(TimePoint now, Opening& opening) = 0;
   // The agent sent the opening back, because its server is saturated.
   virtual void NoteReturned(TimePoint now, const Opening& opening) = 0;
   virtual void NoteAccepted(TimePoint now, const Opening& opening) = 0;
-  // The opening is refused and its client reset. Returns whether the policy
-  // recognizes the repetition of the request (RepeatedRequestStart()).
-  virtual bool NoteReset(TimePoint now, const Opening& opening) = 0;
-  // Start of the request that a client repeats in a new flow after a reset;
-  // nullopt if unknown.
+  // The client of `flow` is reset, and will repeat its request, which started
+  // at `request_started_at`.
+  virtual void NoteReset(TimePoint now,
+                         const FlowKey& flow,
+                         TimePoint request_started_at) = 0;
+  // Start of the request that a client repeats in the new flow `flow` after a
+  // reset; nullopt if it repeats none.
   virtual std::optional<TimePoint> RepeatedRequestStart(
       TimePoint now,
       const FlowKey& flow) = 0;
--- a/src/core/flow/admission/newest_first.h
+++ b/src/core/flow/admission/newest_first.h
@@ -20,12 +20,16 @@
                        const Opening& /*opening*/) const override {
     return false;
   }
+  Duration AnswerTime(ServiceId /*service*/) const override {
+    return Duration{0};
+  }
   void NotePlaced(TimePoint /*now*/, Opening& /*opening*/) override {}
   void NoteReturned(TimePoint /*now*/, const Opening& /*opening*/) override {}
   void NoteAccepted(TimePoint /*now*/, const Opening& /*opening*/) override {}
-  bool NoteReset(TimePoint /*now*/, const Opening& /*opening*/) override {
-    return false;
-  }
+  // The balancer uses the time of the last reset (FlowSender::LastResetAt()).
+  void NoteReset(TimePoint /*now*/,
+                 const FlowKey& /*flow*/,
+                 TimePoint /*request_started_at*/) override {}
   std::optional<TimePoint> RepeatedRequestStart(
       TimePoint /*now*/,
       const FlowKey& /*flow*/) override {
--- a/src/core/flow/admission/opening_table.cc
+++ b/src/core/flow/admission/opening_table.cc
@@ -8,9 +8,10 @@
 // Part of a request's time limit that its opening may wait.
 constexpr int kWaitDivisor = 2;
 
-// Part of the latency target that the answer takes once a loaded server has the
-// request. A server gets up to two requests per slot, so a request takes about
-// two service times; the deployments' targets are 6 to 20 service times.
+// Part of the latency target that the answer is assumed to take once a loaded
+// server has the request. A server gets up to two requests per slot, so a
+// request takes about two service times; the deployments' targets are 6 to 20
+// service times.
 constexpr int kAnswerTimeDivisor = 2;
 
 // A transmission may arrive this long after the expected time.
@@ -46,11 +47,16 @@
 
 void SetPlacementTimes(Opening& opening,
                        Duration latency_target,
-                       Duration time_limit) {
+                       Duration time_limit,
+                       Duration answer_time) {
   const Duration limit = time_limit == Duration{0} ? kMaxWait : time_limit;
   const Duration target =
       latency_target == Duration{0} ? limit / kWaitDivisor : latency_target;
-  const Duration answer_time = std::min(target, limit) / kAnswerTimeDivisor;
+  if (answer_time == Duration{0}) {
+    answer_time = target / kAnswerTimeDivisor;
+  }
+  // Above that the figure rather shows a stalled server.
+  answer_time = std::min(answer_time, limit / kWaitDivisor);
   opening.place_by_for_target =
       opening.request_started_at + target - answer_time;
   opening.place_by_for_limit = opening.request_started_at + limit - answer_time;
--- a/src/core/flow/admission/opening_table.h
+++ b/src/core/flow/admission/opening_table.h
@@ -48,6 +48,8 @@
   // Openings that are placed before it, as of the last review of the queue.
   std::uint32_t ahead = 0;
   bool wait_reported = false;
+  // Expected at the server that it was sent to; 0: unknown.
+  Duration answer_time{0};
   // Bit i is set if the client's transmission i arrived here.
   std::uint32_t seen_transmissions = 0;
 };
@@ -68,9 +70,12 @@
 // Sets the latest placement times of an opening from `request_started_at` and
 // the route's latency target and time limit, either of which may be 0
 // (unknown).
+// `answer_time`: usual time from placement to answer at the service; 0:
+// unknown, then a part of the latency target is assumed.
 void SetPlacementTimes(Opening& opening,
                        Duration latency_target,
-                       Duration time_limit);
+                       Duration time_limit,
+                       Duration answer_time);
 
 // Maximum time that an opening waits for a server, whatever its request allows.
 // A client abandons an opening after 1.4 s. It is reset earlier, so that it can
--- a/src/core/flow/admission/priority_admission.cc
+++ b/src/core/flow/admission/priority_admission.cc
@@ -21,6 +21,9 @@
 // Time between two computations of the fair share, which visit all callers.
 constexpr Duration kShareInterval{100000};
 
+// Weight of a new answer time in the moving average, as in TCP's (RFC 6298).
+constexpr int kAnswerTimeWeightDivisor = 8;
+
 // Openings that were sent to a server before exclude it, so that they may find
 // all others saturated although it is not. A tick offers at most this many of
 // them for each service.
@@ -99,8 +102,22 @@
          std::any_of(levels.begin(), own, waited);
 }
 
+Duration PriorityAdmission::AnswerTime(ServiceId service) const {
+  const auto found = this->services.find(service);
+  return found == this->services.end() ? Duration{0}
+                                       : found->second.answer_time;
+}
+
 void PriorityAdmission::NotePlaced(TimePoint now, Opening& opening) {
   Service& service = this->services[opening.service];
+  if (opening.answer_time != Duration{0}) {
+    service.answer_time =
+        service.answer_time == Duration{0}
+            ? opening.answer_time
+            : service.answer_time +
+                  (opening.answer_time - service.answer_time) /
+                      kAnswerTimeWeightDivisor;
+  }
   this->shares.NotePlaced(now, opening.service, opening.flow.client.address);
   this->metrics.Count("flow_openings_sent", "priority", LevelName(opening));
   if (WasQueued(opening)) {
@@ -129,10 +146,10 @@
   this->services[opening.service].rate.NoteAccepted(now - opening.sent_at);
 }
 
-bool PriorityAdmission::NoteReset(TimePoint now, const Opening& opening) {
-  this->repeated_requests.NoteReset(now, opening.flow,
-                                    opening.request_started_at);
-  return true;
+void PriorityAdmission::NoteReset(TimePoint now,
+                                  const FlowKey& flow,
+                                  TimePoint request_started_at) {
+  this->repeated_requests.NoteReset(now, flow, request_started_at);
 }
 
 std::optional<TimePoint> PriorityAdmission::RepeatedRequestStart(
--- a/src/core/flow/admission/priority_admission.h
+++ b/src/core/flow/admission/priority_admission.h
@@ -29,10 +29,13 @@
   bool Admit(TimePoint now, Opening& opening) override;
   bool Enqueue(TimePoint now, Opening& opening) override;
   bool MustKeepReserve(TimePoint now, const Opening& opening) const override;
+  Duration AnswerTime(ServiceId service) const override;
   void NotePlaced(TimePoint now, Opening& opening) override;
   void NoteReturned(TimePoint now, const Opening& opening) override;
   void NoteAccepted(TimePoint now, const Opening& opening) override;
-  bool NoteReset(TimePoint now, const Opening& opening) override;
+  void NoteReset(TimePoint now,
+                 const FlowKey& flow,
+                 TimePoint request_started_at) override;
   std::optional<TimePoint> RepeatedRequestStart(TimePoint now,
                                                 const FlowKey& flow) override;
   void Tick(TimePoint now, AdmissionActions& actions) override;
@@ -49,6 +52,7 @@
   struct Service {
     ServiceQueue queue;
     PlacementRate rate;
+    Duration answer_time{0};  // moving average; 0: unknown
     std::array<LevelTimes, kPriorityLevels> levels;
     // Placements since the last one of a lower priority.
     std::uint32_t placed_since_lower = 0;
--- a/src/core/flow/balancer/flow_balancer.cc
+++ b/src/core/flow/balancer/flow_balancer.cc
@@ -41,6 +41,17 @@
 // reset.
 constexpr Duration kResetRequestAge{600000};
 
+// Time until a server answers one more request, from the capacity that its
+// agent has measured; 0: unknown.
+Duration ExpectedAnswerTime(const ServerEntry& entry) {
+  if (entry.load.capacity <= 0) {
+    return Duration{0};
+  }
+  const double requests = entry.load.running + entry.placed + 1.0;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(requests / entry.load.capacity));
+}
+
 }  // namespace
 
 class FlowBalancer::Impl : private AdmissionActions {
@@ -144,6 +155,9 @@
   this->QueryAgents();
   this->UpdateReadiness(inbox.stop_requested);
   this->cache.Expire(now);
+  for (const FlowKey& flow : this->sender.LostFlows()) {
+    this->admission->NoteReset(now, flow, now - kResetRequestAge);
+  }
   for (const FlowEvent& event : outbox.events) {
     this->metrics.Count("flow_events", "event", NameOf(event.kind));
   }
@@ -356,7 +370,8 @@
   NoteTransmission(*opening, packet.retransmit_count);
   opening->request_started_at = this->RequestStartTime(packet, arrived_at);
   opening->priority = route.priority;
-  SetPlacementTimes(*opening, route.latency_target, route.time_limit);
+  SetPlacementTimes(*opening, route.latency_target, route.time_limit,
+                    this->admission->AnswerTime(opening->service));
   if (this->admission->Admit(this->now, *opening)) {
     this->SendToNextServer(*opening, "new_flow");
   }
@@ -364,13 +379,16 @@
 
 TimePoint FlowBalancer::Impl::RequestStartTime(const FlowPacket& packet,
                                                TimePoint arrived_at) {
-  if (packet.retransmit_count == 0) {
-    if (const auto started_at =
-            this->admission->RepeatedRequestStart(this->now, packet.flow)) {
-      return *started_at;
+  if (this->settings.priority_admission) {
+    const auto repeated =
+        packet.retransmit_count == 0
+            ? this->admission->RepeatedRequestStart(this->now, packet.flow)
+            : std::nullopt;
+    if (repeated.has_value()) {
+      return *repeated;
     }
-  }
-  if (const auto reset = this->sender.LastResetAt(packet.flow.client.address)) {
+  } else if (const auto reset =
+                 this->sender.LastResetAt(packet.flow.client.address)) {
     // The client repeats the request of the flow that was reset.
     return *reset - kResetRequestAge;
   }
@@ -411,10 +429,11 @@
     }
     return OfferResult::kSaturated;
   }
-  this->admission->NotePlaced(this->now, opening);
-  opening.waiting = false;
   const ServerKey key = placement.server;
   ServerEntry& entry = *servers.Find(key);
+  opening.answer_time = ExpectedAnswerTime(entry);
+  this->admission->NotePlaced(this->now, opening);
+  opening.waiting = false;
   FlowEvent& event = this->sender.Report(opening.attempted_servers.empty()
                                              ? FlowEventKind::kPlaced
                                              : FlowEventKind::kReassigned,
@@ -442,11 +461,8 @@
   event.count = static_cast<std::uint32_t>(opening.attempted_servers.size());
   event.age = this->now - opening.started_at;
   if (HasAllTransmissions(this->now, opening)) {
-    if (this->admission->NoteReset(this->now, opening)) {
-      this->sender.Outbox().resets.push_back({flow, 0});
-    } else {
-      this->sender.Reset(flow, 0);
-    }
+    this->admission->NoteReset(this->now, flow, opening.request_started_at);
+    this->sender.ResetOpening(flow);
   } else {
     event.detail =
         "client not reset: another balancer may have opened the flow";
--- a/src/core/flow/forwarding/flow_sender.cc
+++ b/src/core/flow/forwarding/flow_sender.cc
@@ -16,6 +16,7 @@
 void FlowSender::BeginTick(TimePoint tick_time) {
   this->now = tick_time;
   this->outbox = FlowBalancerOutbox();
+  this->lost_flows.clear();
   for (auto entry = this->reset_clients.begin();
        entry != this->reset_clients.end();) {
     entry = this->now - entry->second > kResetClientRetention
@@ -36,6 +37,15 @@
 }
 
 void FlowSender::Reset(const FlowKey& flow, std::uint32_t sequence) {
+  this->lost_flows.push_back(flow);
+  this->SendReset(flow, sequence);
+}
+
+void FlowSender::ResetOpening(const FlowKey& flow) {
+  this->SendReset(flow, 0);
+}
+
+void FlowSender::SendReset(const FlowKey& flow, std::uint32_t sequence) {
   if (this->reset_clients.size() < kMaxResetClients) {
     this->reset_clients[flow.client.address] = this->now;
   }
--- a/src/core/flow/forwarding/flow_sender.h
+++ b/src/core/flow/forwarding/flow_sender.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include "cactuscross/flow_balancer.h"
 #include "cactuscross/flow_event.h"
@@ -23,18 +24,26 @@
   void Forward(const ServerEntry& entry, MarkPurpose purpose, Bytes bytes);
   // Resets `flow` at its client. `sequence`: the client's last acknowledgement.
   void Reset(const FlowKey& flow, std::uint32_t sequence);
+  // Resets a refused opening.
+  void ResetOpening(const FlowKey& flow);
   FlowEvent& Report(FlowEventKind kind, const FlowKey& flow);
 
   // Time of the last reset sent to this client, or nullopt if there was none
   // recently (kResetClientRetention).
   std::optional<TimePoint> LastResetAt(std::uint32_t client_address) const;
 
+  // Flows that Reset() has reset in this tick, without refused openings.
+  const std::vector<FlowKey>& LostFlows() const { return this->lost_flows; }
+
   FlowBalancerOutbox& Outbox() { return this->outbox; }
 
  private:
+  void SendReset(const FlowKey& flow, std::uint32_t sequence);
+
   const FlowBalancerSettings& settings;
   // Clients with a recent reset, and the time of the reset.
   std::unordered_map<std::uint32_t, TimePoint> reset_clients;
+  std::vector<FlowKey> lost_flows;
   TimePoint now;
   FlowBalancerOutbox outbox;
 };
--- a/tests/flow/test_flow_admission.cc
+++ b/tests/flow/test_flow_admission.cc
@@ -84,7 +84,8 @@
     opening.request_started_at = now;
     opening.priority = 1;
     NoteTransmission(opening, 0);
-    SetPlacementTimes(opening, milliseconds(200), limit);
+    SetPlacementTimes(opening, milliseconds(200), limit,
+                      this->policy->AnswerTime(kService));
     if (this->policy->Admit(now, opening)) {
       this->Place(opening, false);
     }
@@ -157,6 +158,7 @@
   CPPUNIT_TEST(TickOffersFewOfManyWaitingOpenings);
   CPPUNIT_TEST(ReserveIsKeptWhileHigherPrioritiesWait);
   CPPUNIT_TEST(FullTableOfCallersFindsTheGreedyOne);
+  CPPUNIT_TEST(MeasuredAnswerTimeDecidesWhatIsInTime);
   CPPUNIT_TEST(FairShareIsMaxMin);
   CPPUNIT_TEST(RepeatedRequestKeepsItsStart);
   CPPUNIT_TEST_SUITE_END();
@@ -380,6 +382,23 @@
     CPPUNIT_ASSERT(!shares.HasShare(kService, kGreedy));
   }
 
+  // Load: a service that takes 150 ms of a target of 200 ms. Guards against
+  // openings that are placed when they can no longer meet their target, while
+  // others still can.
+  void MeasuredAnswerTimeDecidesWhatIsInTime() {
+    PolicyWithPlaces service;
+    Opening placed = Opening();
+    placed.service = kService;
+    placed.answer_time = milliseconds(150);
+    service.policy->NotePlaced(kStart, placed);
+    const Opening& first = service.AddWaiting(kStart, 1, seconds(1));
+    CPPUNIT_ASSERT(kStart + milliseconds(50) == first.place_by_for_target);
+    CPPUNIT_ASSERT(kStart + milliseconds(850) == first.place_by_for_limit);
+    service.AddWaiting(kStart + milliseconds(60), 2, seconds(1));
+    service.Tick(kStart + milliseconds(60), 1);
+    CPPUNIT_ASSERT_EQUAL(2U, service.placed.at(0).client.address);
+  }
+
   void FairShareIsMaxMin() {
     CPPUNIT_ASSERT_EQUAL(4.0, FairShare({10, 1, 4}, 9));
     CPPUNIT_ASSERT_EQUAL(2.0, FairShare({10, 10, 10}, 6));
--- a/tests/flow/test_flow_simulation.cc
+++ b/tests/flow/test_flow_simulation.cc
@@ -36,6 +36,14 @@
   CPPUNIT_ASSERT_MESSAGE(Describe(totals), totals.ServedShare() >= served);
 }
 
+FlowSimulationConfig ManyBalancersConfig() {
+  FlowSimulationConfig config = WorkshopConfig(1.6);
+  config.balancers = 23;
+  config.services[0] = {"desk", 8080, 16, 3, 12};
+  config.users = 900;
+  return config;
+}
+
 // Runs balancers and agents in a simulated environment, most tests with one
 // kind of fault, and checks the invariants and the share of requests that are
 // served in time.
@@ -57,6 +65,7 @@
   CPPUNIT_TEST(PowerLossWithUnresponsiveStore);
   CPPUNIT_TEST(PowerLossBehindSlowLinks);
   CPPUNIT_TEST(ManyBalancersDoNotOverloadServers);
+  CPPUNIT_TEST(PriorityAdmissionAfterAPowerLoss);
   CPPUNIT_TEST(RemovedRouteIsRefused);
   CPPUNIT_TEST(SlowServerDoesNotDelayNewFlows);
   CPPUNIT_TEST_SUITE_END();
@@ -229,11 +238,7 @@
   // last load report, so that all of them may choose a server that was idle
   // then.
   void ManyBalancersDoNotOverloadServers() {
-    FlowSimulationConfig config = WorkshopConfig(1.6);
-    config.balancers = 23;
-    config.services[0] = {"desk", 8080, 16, 3, 12};
-    config.users = 900;
-    FlowSimulation simulation(kSeed, config);
+    FlowSimulation simulation(kSeed, ManyBalancersConfig());
     CheckServed(simulation.Run(seconds(2)), 0.95, 0.95);
     simulation.PowerOffAll(seconds(1), /*new_names=*/true);
     simulation.Run(seconds(2));
@@ -245,6 +250,23 @@
     CheckServed(simulation.Run(seconds(2)), 0.97, 0.99);
   }
 
+  // All clients reconnect at once, and openings wait at balancers that admit by
+  // priority and deadline. Guards against resets of open flows and against
+  // refusals of requests that could be served.
+  void PriorityAdmissionAfterAPowerLoss() {
+    FlowSimulationConfig config = ManyBalancersConfig();
+    config.priority_admission = true;
+    FlowSimulation simulation(kSeed, config);
+    CheckServed(simulation.Run(seconds(2)), 0.95, 0.95);
+    simulation.PowerOffAll(seconds(1), /*new_names=*/true);
+    simulation.Run(seconds(2));
+    const FlowTotals back = simulation.Run(seconds(2));
+    CheckServed(back, 0.45, 0.75);
+    CPPUNIT_ASSERT(simulation.EventCount(FlowEventKind::kWaiting) > 0);
+    CheckServed(simulation.Run(seconds(2)), 0.85, 0.95);
+    CheckServed(simulation.Run(seconds(2)), 0.97, 0.99);
+  }
+
   void RemovedRouteIsRefused() {
     FlowSimulation simulation(kSeed, WorkshopConfig(1.0));
     simulation.Run(seconds(1));
--- a/tests/support/admission_model.cc
+++ b/tests/support/admission_model.cc
@@ -106,7 +106,7 @@
   opening->request_started_at =
       this->policy->RepeatedRequestStart(this->now, flow).value_or(this->now);
   SetPlacementTimes(*opening, request.load->latency_target,
-                    request.load->time_limit);
+                    request.load->time_limit, Duration{0});
   this->requests[flow] = request;
   if (this->policy->Admit(this->now, *opening)) {
     this->Place(*opening, this->policy->MustKeepReserve(this->now, *opening));
@@ -148,7 +148,7 @@
   const FlowKey flow = opening.flow;
   Request request = this->requests[flow];
   this->reasons.insert(std::string(refusal.reason));
-  this->policy->NoteReset(this->now, opening);
+  this->policy->NoteReset(this->now, flow, opening.request_started_at);
   this->requests.erase(flow);
   this->openings.Erase(flow);
   const bool has_time =
--- a/tests/support/flow_simulation.h
+++ b/tests/support/flow_simulation.h
@@ -36,6 +36,7 @@
   Duration mean_service_time{55000};
   Duration latency_target{250000};
   Duration deadline{2500000};  // for all attempts together
+  std::uint32_t priority = 0;
 };
 
 struct FlowSimulationConfig {
@@ -44,6 +45,9 @@
   std::uint32_t users = 100;  // long flows of each request kind that uses them
   std::vector<FlowServiceConfig> services;
   std::vector<FlowRequestConfig> requests;
+  // Balancers admit by priority and deadline, and routes have the latency
+  // target and time limit of their requests.
+  bool priority_admission = false;
   // The store has no routes until this time after the start.
   Duration routes_delay{0};
 };
--- a/tests/support/flow_simulation_impl.h
+++ b/tests/support/flow_simulation_impl.h
@@ -148,6 +148,7 @@
                     TimePoint call_started_at,
                     const StoreReply& reply);
   StoreAnswer MakeStoreAnswer(const StoreCall& call) const;
+  void DescribeRequests(const std::string& service, FlowRoute& route) const;
   void PutEntry(std::size_t index, bool removed);
   void PutRoutes();
   void RestoreStore(Duration copy_age);
--- a/tests/support/flow_simulation_processes.cc
+++ b/tests/support/flow_simulation_processes.cc
@@ -72,6 +72,7 @@
   settings.node.zone = "z" + std::to_string(balancer.zone);
   settings.node.data = {balancer.host, 1};
   settings.control = {balancer.host, 3};
+  settings.priority_admission = this->config.priority_admission;
   settings.seeds = {{kBalancerNetwork + 1, 3}, {kBalancerNetwork + 2, 3}};
   balancer.core = std::make_unique<FlowBalancer>(
       settings, this->simulation.link.GetRandom().Next());
--- a/tests/support/flow_simulation_store.cc
+++ b/tests/support/flow_simulation_store.cc
@@ -137,6 +137,19 @@
   reply(std::move(answer));
 }
 
+// Takes the first kind of request of the service.
+void FlowSimulation::Impl::DescribeRequests(const std::string& service,
+                                            FlowRoute& route) const {
+  for (const FlowRequestConfig& request : this->config.requests) {
+    if (this->config.services[request.service].name == service) {
+      route.latency_target = request.latency_target;
+      route.time_limit = request.deadline;
+      route.priority = request.priority;
+      return;
+    }
+  }
+}
+
 StoreAnswer FlowSimulation::Impl::MakeStoreAnswer(const StoreCall& call) const {
   StoreAnswer answer;
   answer.subject = call.subject;
@@ -163,6 +176,9 @@
         FlowRoute& route = routes.routes.emplace_back();
         route.service_address = {kRouteAddress, port};
         route.services = {{MakeServiceId(service), 1}};
+        if (this->config.priority_admission) {
+          this->DescribeRequests(service, route);
+        }
       }
       answer.routes.push_back(std::move(routes));
     }
