--- a/src/core/flow/admission/admission_policy.h
+++ b/src/core/flow/admission/admission_policy.h
@@ -61,9 +61,11 @@
   // Usual time from placement to answer at the service; 0: unknown.
   virtual Duration AnswerTime(ServiceId service) const = 0;
 
-  // The opening was sent to a server; `Opening::answer_time` is set.
+  // The opening is sent to a server, which is not in `attempted_servers` yet;
+  // `answer_time` is set.
   virtual void NotePlaced(TimePoint now, Opening& opening) = 0;
-  // The agent sent the opening back, because its server is saturated.
+  // The agent sent the opening back, because its server is saturated. The
+  // server is no longer in `attempted_servers`.
   virtual void NoteReturned(TimePoint now, const Opening& opening) = 0;
   virtual void NoteAccepted(TimePoint now, const Opening& opening) = 0;
   // The client of `flow` is reset, and will repeat its request, which started
--- a/src/core/flow/admission/placement_rate.cc
+++ b/src/core/flow/admission/placement_rate.cc
@@ -14,10 +14,11 @@
 // load reports of the agents, which arrive every 20 to 100 ms.
 constexpr double kMinBusySeconds = 0.2;
 
-// The rate is taken higher than measured by one standard deviation of the
-// count (Poisson) and one opening, since a low estimate refuses openings that
-// could have been served.
-constexpr double kMarginOpenings = 1.0;
+// The rate is taken higher than measured by one standard deviation of the count
+// (Poisson) and by this many openings, since a low estimate refuses openings
+// that could have been served. If none was placed, the upper limit of the count
+// is 3 with a confidence of 95 %.
+constexpr double kMarginOpenings = 3.0;
 
 // Weight of a new value in the moving average, as in TCP's (RFC 6298).
 constexpr int kLatencyWeightDivisor = 8;
--- a/src/core/flow/admission/priority_admission.cc
+++ b/src/core/flow/admission/priority_admission.cc
@@ -118,7 +118,10 @@
                   (opening.answer_time - service.answer_time) /
                       kAnswerTimeWeightDivisor;
   }
-  this->shares.NotePlaced(now, opening.service, opening.flow.client.address);
+  // Another attempt of the same opening does not count again.
+  if (opening.attempted_servers.empty()) {
+    this->shares.NotePlaced(now, opening.service, opening.flow.client.address);
+  }
   this->metrics.Count("flow_openings_sent", "priority", LevelName(opening));
   if (WasQueued(opening)) {
     service.rate.NotePlaced();
@@ -136,7 +139,9 @@
 
 void PriorityAdmission::NoteReturned(TimePoint /*now*/,
                                      const Opening& opening) {
-  this->shares.NoteReturned(opening.service, opening.flow.client.address);
+  if (opening.attempted_servers.empty()) {
+    this->shares.NoteReturned(opening.service, opening.flow.client.address);
+  }
   if (WasQueued(opening)) {
     this->services[opening.service].rate.NoteReturned();
   }
--- a/tests/flow/test_flow_balancer_admission.cc
+++ b/tests/flow/test_flow_balancer_admission.cc
@@ -41,7 +41,7 @@
         balancer->Open(client % 3 == 0 ? kQueryAddress : kFeedAddress, client);
       }
     }
-    CPPUNIT_ASSERT_EQUAL(std::size_t{kFull * kServers},
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kFull} * kServers,
                          by_priority.forwarded_to.size());
     CPPUNIT_ASSERT(newest.forwarded_to == by_priority.forwarded_to);
   }
@@ -86,16 +86,16 @@
     balancer.Open(kQueryAddress, 3);
     balancer.Wait(milliseconds(40), kFull);
     CPPUNIT_ASSERT_EQUAL(1U, *Last(balancer, FlowEventKind::kWaiting).count);
-    for (std::uint32_t client = 4; client < 14; ++client) {
+    for (std::uint32_t client = 4; client < 44; ++client) {
       balancer.Open(kQueryAddress, client);
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, balancer.resets);
     balancer.Wait(milliseconds(140), kFull);
     const FlowEvent& refused = Last(balancer, FlowEventKind::kRefused);
     CPPUNIT_ASSERT_EQUAL(std::string("deadline"), std::string(refused.reason));
-    CPPUNIT_ASSERT(*refused.count >= 4 && *refused.age < milliseconds(300));
+    CPPUNIT_ASSERT(*refused.count >= 10 && *refused.age < milliseconds(300));
     CPPUNIT_ASSERT(refused.detail.find("expected wait") != std::string::npos);
-    CPPUNIT_ASSERT(balancer.resets >= 5);
+    CPPUNIT_ASSERT(balancer.resets >= 20);
     const auto resets = static_cast<double>(balancer.resets);
     CPPUNIT_ASSERT_EQUAL(
         resets, balancer.Metric("flow_openings_refused", "priority=\"1\"") +
--- a/tests/support/admission_model.cc
+++ b/tests/support/admission_model.cc
@@ -51,8 +51,8 @@
                              this->finishing_at.upper_bound(this->now));
     this->SendDue(loads);
     this->policy->Tick(this->now, *this);
-    for (Request& request : std::exchange(this->refused, {})) {
-      this->Open(std::move(request));
+    for (const Request& request : std::exchange(this->refused, {})) {
+      this->Open(request);
     }
   }
   return this->totals;
