--- a/src/core/flow/balancer/flow_balancer.cc
+++ b/src/core/flow/balancer/flow_balancer.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "src/core/common/metric_set.h"
+#include "src/core/flow/admission/admission_policy.h"
 #include "src/core/flow/admission/opening_table.h"
 #include "src/core/flow/balancer/agent_queries.h"
 #include "src/core/flow/common/response_timeout.h"
@@ -38,9 +39,20 @@
 // reset.
 constexpr Duration kResetRequestAge{600000};
 
+// Time until a server answers one more request, from the capacity that its
+// agent has measured; 0: unknown.
+Duration ExpectedAnswerTime(const ServerEntry& entry) {
+  if (entry.load.capacity <= 0) {
+    return Duration{0};
+  }
+  const double requests = entry.load.running + entry.placed + 1.0;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(requests / entry.load.capacity));
+}
+
 }  // namespace
 
-class FlowBalancer::Impl {
+class FlowBalancer::Impl : private AdmissionActions {
  public:
   Impl(const FlowBalancerSettings& settings, std::uint64_t seed)
       : settings(settings),
@@ -48,6 +60,9 @@
              settings.node.flow_max_age,
              settings.node.evacuation_bound > Duration{0}),
         gossip(settings),
+        admission(MakeAdmissionPolicy(settings.priority_admission,
+                                      openings,
+                                      metrics)),
         sender(this->settings),
         searcher(view, gossip, sender, metrics, settings.batched_lookup) {}
 
@@ -63,7 +78,6 @@
   void ReadEarlyPackets();
   void ReadPackets(const std::vector<FlowPacket>& packets);
   void ProcessOpeningTimeouts();
-  void RetryWaitingOpenings();
   void QueryAgents();
   void UpdateReadiness(bool stop_requested);
 
@@ -89,15 +103,22 @@
 
   // Estimates the start time of the client's request for which a flow is
   // opened.
-  TimePoint RequestStartTime(const FlowPacket& packet,
-                             TimePoint arrived_at) const;
+  TimePoint RequestStartTime(const FlowPacket& packet, TimePoint arrived_at);
   // Sends the opening to the next server, or refuses it if none is left. While
   // all servers are saturated the opening waits.
   void SendToNextServer(Opening& opening, std::string_view reason);
+  OfferResult SendToNextServer(Opening& opening,
+                               std::string_view reason,
+                               bool keep_reserve);
   // Drops an opening that no server accepts. Resets the client unless another
   // balancer may have opened the flow.
   void RefuseOpening(const Opening& opening, std::string_view reason);
 
+  // AdmissionActions:
+  OfferResult Place(Opening& opening, bool keep_reserve) override;
+  void Refuse(Opening& opening, const AdmissionRefusal& refusal) override;
+  void ReportWaiting(const Opening& opening) override;
+
   std::string NameOfServer(ServerKey key);
 
   const FlowBalancerSettings settings;
@@ -106,6 +127,7 @@
   ViewGossip gossip;
   FlowCache cache;
   OpeningTable openings;
+  std::unique_ptr<AdmissionPolicy> admission;
   ResponseTimeout response_timeout;
   FlowSender sender;
   FlowSearcher searcher;
@@ -131,11 +153,14 @@
   this->ReadPackets(inbox.packets);
   this->ProcessOpeningTimeouts();
   // After the packets, since a new request has priority over waiting ones.
-  this->RetryWaitingOpenings();
+  this->admission->Tick(now, *this);
   this->searcher.ProcessTimeouts(now, this->response_timeout.Current());
   this->QueryAgents();
   this->UpdateReadiness(inbox.stop_requested);
   this->cache.Expire(now);
+  for (const FlowKey& flow : this->sender.LostFlows()) {
+    this->admission->NoteReset(now, flow, now - kResetRequestAge);
+  }
   for (const FlowEvent& event : outbox.events) {
     this->metrics.Count("flow_events", "event", NameOf(event.kind));
   }
@@ -210,6 +235,7 @@
   event.age = this->now - opening->started_at;
   this->metrics.Observe("flow_opening_ms", event.age->count() / 1000.0);
   this->response_timeout.NoteAnswered(this->now);
+  this->admission->NoteAccepted(this->now, *opening);
   this->cache.Put(this->now, notice.flow, server);
   this->openings.Erase(notice.flow);
 }
@@ -249,6 +275,7 @@
     this->response_timeout.NoteAnswered(this->now);
     opening->attempted_servers.pop_back();
     PauseIfRateLimited(this->now, *this->view.Servers().Find(server));
+    this->admission->NoteReturned(this->now, *opening);
     this->SendToNextServer(*opening, "server_saturated");
   }
 }
@@ -376,12 +403,26 @@
   opening->started_at = arrived_at;
   NoteTransmission(*opening, packet.retransmit_count);
   opening->request_started_at = this->RequestStartTime(packet, arrived_at);
-  this->SendToNextServer(*opening, "new_flow");
+  opening->priority = route.priority;
+  SetPlacementTimes(*opening, route.latency_target, route.time_limit,
+                    this->admission->AnswerTime(opening->service));
+  if (this->admission->Admit(this->now, *opening)) {
+    this->SendToNextServer(*opening, "new_flow");
+  }
 }
 
 TimePoint FlowBalancer::Impl::RequestStartTime(const FlowPacket& packet,
-                                               TimePoint arrived_at) const {
-  if (const auto reset = this->sender.LastResetAt(packet.flow.client.address)) {
+                                               TimePoint arrived_at) {
+  if (this->settings.priority_admission) {
+    const auto repeated =
+        packet.retransmit_count == 0
+            ? this->admission->RepeatedRequestStart(this->now, packet.flow)
+            : std::nullopt;
+    if (repeated.has_value()) {
+      return *repeated;
+    }
+  } else if (const auto reset =
+                 this->sender.LastResetAt(packet.flow.client.address)) {
     // The client repeats the request of the flow that was reset.
     return *reset - kResetRequestAge;
   }
@@ -392,14 +433,21 @@
 
 void FlowBalancer::Impl::SendToNextServer(Opening& opening,
                                           std::string_view reason) {
+  this->SendToNextServer(opening, reason,
+                         this->admission->MustKeepReserve(this->now, opening));
+}
+
+OfferResult FlowBalancer::Impl::SendToNextServer(Opening& opening,
+                                                 std::string_view reason,
+                                                 bool keep_reserve) {
   ServerTable& servers = this->view.Servers();
   if (opening.attempted_servers.size() >= kMaxAttempts) {
     this->RefuseOpening(opening, reason);
-    return;
+    return OfferResult::kErased;
   }
-  const Placement placement =
-      PlaceFlow(this->now, servers, opening.service, opening.flow,
-                this->settings.node.zone, opening.attempted_servers);
+  const Placement placement = PlaceFlow(
+      this->now, servers, opening.service, opening.flow,
+      this->settings.node.zone, opening.attempted_servers, keep_reserve);
   if (placement.status == PlacementStatus::kNoServer) {
     if (IsServiceEvacuated(this->now, servers, opening.service)) {
       reason = kZoneEvacuatedReason;
@@ -407,19 +455,23 @@
       reason = "no_server";
     }
     this->RefuseOpening(opening, reason);
-    return;
+    return OfferResult::kErased;
   }
   if (placement.status == PlacementStatus::kSaturated) {
     if (!opening.waiting) {
       opening.waiting = true;
-      this->sender.Report(FlowEventKind::kWaiting, opening.flow).count =
-          static_cast<std::uint32_t>(opening.attempted_servers.size());
+      if (this->admission->Enqueue(this->now, opening)) {
+        this->sender.Report(FlowEventKind::kWaiting, opening.flow).count =
+            static_cast<std::uint32_t>(opening.attempted_servers.size());
+      }
     }
-    return;
+    return OfferResult::kSaturated;
   }
-  opening.waiting = false;
   const ServerKey key = placement.server;
   ServerEntry& entry = *servers.Find(key);
+  opening.answer_time = ExpectedAnswerTime(entry);
+  this->admission->NotePlaced(this->now, opening);
+  opening.waiting = false;
   FlowEvent& event = this->sender.Report(opening.attempted_servers.empty()
                                              ? FlowEventKind::kPlaced
                                              : FlowEventKind::kReassigned,
@@ -436,6 +488,7 @@
   opening.attempted_servers.push_back(key);
   opening.sent_at = this->now;
   this->sender.Forward(entry, MarkPurpose::kOpening, opening.packet);
+  return OfferResult::kPlaced;
 }
 
 void FlowBalancer::Impl::RefuseOpening(const Opening& opening,
@@ -446,7 +499,8 @@
   event.count = static_cast<std::uint32_t>(opening.attempted_servers.size());
   event.age = this->now - opening.started_at;
   if (HasAllTransmissions(this->now, opening)) {
-    this->sender.Reset(flow, 0);
+    this->admission->NoteReset(this->now, flow, opening.request_started_at);
+    this->sender.ResetOpening(flow);
   } else {
     event.detail =
         "client not reset: another balancer may have opened the flow";
@@ -490,15 +544,26 @@
   }
 }
 
-void FlowBalancer::Impl::RetryWaitingOpenings() {
-  for (const FlowKey& flow : this->openings.WaitTimedOut(this->now)) {
-    this->RefuseOpening(*this->openings.Find(flow), "saturated");
-  }
-  for (const FlowKey& flow : this->openings.WaitingFlows()) {
-    this->SendToNextServer(*this->openings.Find(flow), "waited");
+OfferResult FlowBalancer::Impl::Place(Opening& opening, bool keep_reserve) {
+  return this->SendToNextServer(opening, "waited", keep_reserve);
+}
+
+void FlowBalancer::Impl::Refuse(Opening& opening,
+                                const AdmissionRefusal& refusal) {
+  this->RefuseOpening(opening, refusal.reason);
+  FlowEvent& event = this->sender.Outbox().events.back();
+  event.count = refusal.ahead.has_value() ? refusal.ahead : event.count;
+  if (event.detail.empty()) {
+    event.detail = refusal.detail;
   }
 }
 
+void FlowBalancer::Impl::ReportWaiting(const Opening& opening) {
+  FlowEvent& event = this->sender.Report(FlowEventKind::kWaiting, opening.flow);
+  event.count = opening.ahead;
+  event.age = this->now - opening.started_at;
+}
+
 void FlowBalancer::Impl::QueryAgents() {
   if (HasWarmupBound(this->settings.node) && !this->view.IsLoaded()) {
     // An agent takes a query without a limit to mean that there is none.
--- a/tests/support/flow_simulation_impl.h
+++ b/tests/support/flow_simulation_impl.h
@@ -167,6 +167,7 @@
   // Orders in the store, the newest of each zone.
   std::map<std::string, ZoneOrder> CurrentOrders() const;
   void PutZoneOrder(const std::string& zone, bool evacuated);
+  void DescribeRequests(const std::string& service, FlowRoute& route) const;
   void PutEntry(std::size_t index, bool removed);
   void PutRoutes();
   // Returns whether an opening for `port` may reach `service`: the route names
--- a/tests/support/flow_simulation_processes.cc
+++ b/tests/support/flow_simulation_processes.cc
@@ -79,6 +79,7 @@
   settings.node.warmup_slack = this->config.warmup_slack;
   settings.control = {balancer.host, 3};
   settings.batched_lookup = this->config.batched_lookup;
+  settings.priority_admission = this->config.priority_admission;
   settings.seeds = {{kBalancerNetwork + 1, 3}, {kBalancerNetwork + 2, 3}};
   balancer.core = std::make_unique<FlowBalancer>(
       settings, this->simulation.link.GetRandom().Next());
--- a/tests/support/flow_simulation_store.cc
+++ b/tests/support/flow_simulation_store.cc
@@ -216,6 +216,19 @@
   reply(std::move(answer));
 }
 
+// Takes the first kind of request of the service.
+void FlowSimulation::Impl::DescribeRequests(const std::string& service,
+                                            FlowRoute& route) const {
+  for (const FlowRequestConfig& request : this->config.requests) {
+    if (this->config.services[request.service].name == service) {
+      route.latency_target = request.latency_target;
+      route.time_limit = request.deadline;
+      route.priority = request.priority;
+      return;
+    }
+  }
+}
+
 StoreAnswer FlowSimulation::Impl::MakeStoreAnswer(const StoreCall& call) const {
   StoreAnswer answer;
   answer.subject = call.subject;
@@ -260,6 +273,9 @@
     for (const FlowRouteShare& share : shares) {
       route.services.push_back({MakeServiceId(share.service), share.weight});
     }
+    if (this->config.priority_admission) {
+      this->DescribeRequests(shares.front().service, route);
+    }
   }
   if (this->config.warmup_openings_per_second > 0) {
     for (const FlowServiceConfig& service : this->config.services) {
