Fuzz the parser of HTTP responses

Change: tests/run_fuzz.sh also runs HttpResponseParser. The result must not depend on the parts in which a response arrives, and a body never exceeds its limit.

--- a/tests/fuzz/fuzz_decoders.cc
+++ b/tests/fuzz/fuzz_decoders.cc
@@ -9,6 +9,7 @@
 
 #include "platform/entry_decoder.h"
 #include "platform/packet_codec.h"
+#include "src/shell/http_response_parser.h"
 #include "src/wire/coap_codec.h"
 #include "src/wire/flow_codec.h"
 #include "src/wire/peer_codec.h"
@@ -86,8 +87,30 @@
   }
 }
 
-constexpr std::array kChecks = {&CheckCoap,   &CheckEnvelope, &CheckNotice,
-                                &CheckGossip, &CheckPacket,   &CheckEntry};
+// Checks that the result doesn't depend on the parts in which a response
+// arrives.
+void CheckHttpResponse(ByteView input) {
+  constexpr std::size_t kMaxBodyBytes = 100;
+  const std::string_view text(reinterpret_cast<const char*>(input.data()),
+                              input.size());
+  HttpResponseParser whole(kMaxBodyBytes);
+  HttpResponseParser parts(kMaxBodyBytes);
+  const HttpParseState state = whole.Append(text);
+  HttpParseState last = HttpParseState::kIncomplete;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    last = parts.Append(text.substr(i, 1));
+  }
+  const std::string body = whole.TakeBody();
+  const bool complete = state == HttpParseState::kComplete;
+  if (state != last || body.size() > kMaxBodyBytes ||
+      (complete && body != parts.TakeBody())) {
+    std::abort();
+  }
+}
+
+constexpr std::array kChecks = {&CheckCoap,        &CheckEnvelope, &CheckNotice,
+                                &CheckGossip,      &CheckPacket,   &CheckEntry,
+                                &CheckHttpResponse};
 
 }  // namespace
 }  // namespace cactuscross
--- a/tests/run_fuzz.sh
+++ b/tests/run_fuzz.sh
@@ -14,7 +14,7 @@
 objects=""
 for source in tests/fuzz/fuzz_decoders.cc src/wire/*.cc src/core/types.cc \
   src/core/flow/common/flow_types.cc src/config/value_parser.cc \
-  platform/packet_codec.cc platform/entry_decoder.cc; do
+  platform/packet_codec.cc platform/entry_decoder.cc src/shell/http_response_parser.cc; do
   object=$folder/$(echo "$source" | tr / _).o
   case $source in *.pb.cc) warnings=-w ;; *) warnings= ;; esac
   # shellcheck disable=SC2086
