Placement by measured capacity, overflow to other services of a route

Servers of one service may run at different speeds; placement compared them by requests per slot, so that a server of 1.7 times the speed got as much as one of 0.7. Agents now measure their server's capacity from its packets and report it. Where the capacities of a service are uneven by a factor of 1.5, balancers place by expected completion and derive the limit of requests in progress from the capacity. An opening that its service cannot take goes to another one of its route, unless strict_weights is set.

--- a/include/cactuscross/flow_message.h
+++ b/include/cactuscross/flow_message.h
@@ -69,8 +69,8 @@
   std::uint32_t sender = 0;  // IPv4 source address of the datagram
   std::uint32_t service_tag = 0;
   FlowKey flow;  // unset in kLoad and kQuery
-  // kQuery: number of requests in progress at which the server gets no new
-  // flows.
+  // Number of requests in progress at which the server gets no new flows. In
+  // notices of agents the one in force, as far as the agent knows; else 0.
   std::uint32_t max_running = 0;
   AgentOrders orders;               // kQuery
   std::vector<FlowLookup> lookups;  // kLookup, kLookupReply; up to kMaxLookups
--- a/src/core/flow/agent/flow_agent.cc
+++ b/src/core/flow/agent/flow_agent.cc
@@ -50,6 +50,7 @@
  private:
   // The steps of a tick, in their order.
   void ReadQueries(const std::vector<FlowNotice>& notices);
+  void ReadOrders(const FlowNotice& query);
   void ReadFromServer(const std::vector<FlowPacket>& packets);
   void ReadFromBalancers(const std::vector<FlowPacket>& packets);
   void CheckServer(ProbeResult probe);
@@ -82,6 +83,7 @@
   // When openings were forwarded whose requests are still expected.
   std::deque<TimePoint> recent_openings;
   std::uint32_t max_running = 0;  // from queries of balancers; 0: unknown
+  std::uint32_t slots = 0;        // from queries of balancers; 0: unknown
   std::unordered_map<FlowKey, TimePoint, FlowKeyHash> returned_flows;
   // Time of the last packet or query of each balancer.
   std::unordered_map<std::uint32_t, TimePoint> balancers;
@@ -128,12 +130,23 @@
     if (notice.service_tag != ServiceTag(this->service)) {
       continue;
     }
-    this->max_running = notice.max_running;
+    this->ReadOrders(notice);
     this->outbox.notices.push_back(
         this->MakeNotice(notice.sender, NoticeKind::kLoad));
   }
 }
 
+void FlowAgent::Impl::ReadOrders(const FlowNotice& query) {
+  // A balancer of an earlier version does not name the slots.
+  if (query.orders.slots > 0) {
+    this->slots = query.orders.slots;
+    this->flows.SetSlots(this->now, this->slots);
+  }
+  // A limit below the number of slots would leave slots idle.
+  this->max_running =
+      query.max_running == 0 ? 0 : std::max(query.max_running, this->slots);
+}
+
 void FlowAgent::Impl::ReadFromServer(const std::vector<FlowPacket>& packets) {
   if (!packets.empty()) {
     this->health_check.NoteReceived(this->now);
@@ -319,6 +332,7 @@
   ServerLoad load;
   load.running = this->ExpectedRunning();
   load.open_flows = this->flows.Open();
+  load.capacity = this->flows.Capacity();
   load.down = this->health_check.IsDown() || this->outbox.may_exit;
   return load;
 }
@@ -355,6 +369,7 @@
   outgoing.notice.kind = kind;
   outgoing.notice.service_tag = ServiceTag(this->service);
   outgoing.notice.load = this->Load();
+  outgoing.notice.max_running = this->max_running;
   return outgoing;
 }
 
@@ -400,6 +415,8 @@
                      static_cast<double>(this->flows.Size())});
   samples.push_back({"flow_running", MetricKind::kGauge, "",
                      static_cast<double>(this->flows.Running())});
+  samples.push_back(
+      {"flow_server_capacity", MetricKind::kGauge, "", this->flows.Capacity()});
   samples.push_back({"flow_server_down", MetricKind::kGauge, "",
                      this->health_check.IsDown() ? 1.0 : 0.0});
   return samples;
--- a/src/core/flow/agent/server_flows.cc
+++ b/src/core/flow/agent/server_flows.cc
@@ -59,7 +59,7 @@
     return;
   }
   ServerFlow& flow = found->second;
-  this->SetRunning(flow, false);
+  this->EndRequest(this->now, flow, RequestEnd::kUnknown);
   this->SetState(flow, ServerFlowState::kClosing);
   this->lru.erase(LruList::s_iterator_to(flow));
   this->flows.erase(found);
@@ -68,6 +68,7 @@
 void ServerFlows::Clear() {
   this->lru.clear();
   this->flows.clear();
+  this->meter.Clear();
   this->running = 0;
   this->open = 0;
 }
@@ -89,10 +90,10 @@
   if (packet.data_bytes > 0 &&
       IsNewer(packet.sequence + packet.data_bytes, flow.client_sequence)) {
     flow.client_sequence = packet.sequence + packet.data_bytes;
-    this->SetRunning(flow, true);
+    this->BeginRequest(now, flow);
   }
   if (packet.reset) {
-    this->SetRunning(flow, false);
+    this->EndRequest(now, flow, RequestEnd::kAbandoned);
   }
 }
 
@@ -104,11 +105,16 @@
     if (flow.state == ServerFlowState::kRequested) {
       this->SetState(flow, ServerFlowState::kAccepted);
     }
-    flow.server_sequence = packet.sequence;
+    if (packet.sequence != flow.server_sequence) {
+      flow.server_sequence = packet.sequence;
+      flow.server_data_known = false;
+    }
     return;
   }
-  if (packet.data_bytes > 0 || packet.closing || packet.reset) {
-    this->SetRunning(flow, false);
+  if (packet.data_bytes > 0 && NoteServerData(flow, packet)) {
+    this->EndRequest(now, flow, RequestEnd::kAnswered);
+  } else if (packet.closing || packet.reset) {
+    this->EndRequest(now, flow, RequestEnd::kUnknown);
   }
   if (packet.closing || packet.reset) {
     this->SetState(flow, ServerFlowState::kClosing);
@@ -118,6 +124,7 @@
 }
 
 void ServerFlows::Expire(TimePoint now) {
+  this->now = now;
   // The list is ordered by last use rather than by expiry, so a closing flow
   // may stay a little longer behind an open one.
   while (!this->lru.empty() && now - this->lru.front().used_at >
@@ -139,6 +146,7 @@
 }
 
 void ServerFlows::Touch(TimePoint now, ServerFlow& flow) {
+  this->now = now;
   flow.used_at = now;
   this->lru.erase(LruList::s_iterator_to(flow));
   this->lru.push_back(flow);
@@ -153,11 +161,39 @@
   }
 }
 
-void ServerFlows::SetRunning(ServerFlow& flow, bool running) {
-  if (flow.running != running) {
-    flow.running = running;
-    this->running += running ? 1U : -1U;
+void ServerFlows::SetSlots(TimePoint now, std::uint32_t slots) {
+  this->meter.SetSlots(now, slots);
+}
+
+void ServerFlows::BeginRequest(TimePoint now, ServerFlow& flow) {
+  if (flow.running) {
+    flow.request_started = this->meter.NoteMoreData(now, flow.request_started);
+    return;
+  }
+  flow.running = true;
+  ++this->running;
+  flow.request_started = this->meter.NoteBegin(now);
+}
+
+void ServerFlows::EndRequest(TimePoint now, ServerFlow& flow, RequestEnd end) {
+  if (!flow.running) {
+    return;
+  }
+  flow.running = false;
+  --this->running;
+  this->meter.NoteEnd(now, flow.request_started, end);
+}
+
+// A retransmission of an earlier answer must not end the request that the
+// client has sent meanwhile.
+bool ServerFlows::NoteServerData(ServerFlow& flow, const FlowPacket& packet) {
+  if (flow.server_data_known &&
+      !IsNewer(packet.sequence, flow.server_data_sequence)) {
+    return false;
   }
+  flow.server_data_sequence = packet.sequence;
+  flow.server_data_known = true;
+  return true;
 }
 
 bool BelongsTo(const ServerFlow& flow, const FlowPacket& packet) {
--- a/src/core/flow/agent/server_flows.h
+++ b/src/core/flow/agent/server_flows.h
@@ -10,6 +10,7 @@
 #include <boost/intrusive/list.hpp>
 
 #include "cactuscross/flow_types.h"
+#include "src/core/flow/agent/capacity_meter.h"
 
 namespace cactuscross {
 
@@ -28,8 +29,11 @@
   std::uint32_t server_sequence = 0;
   // Sequence number that follows the newest data of the client.
   std::uint32_t client_sequence = 0;
-  std::uint32_t acknowledgement = 0;  // last one received from the client
-  bool running = false;               // a request is in progress
+  std::uint32_t acknowledgement = 0;       // last one received from the client
+  std::uint32_t server_data_sequence = 0;  // of the server's newest data packet
+  bool server_data_known = false;          // `server_data_sequence` is set
+  bool running = false;                    // a request is in progress
+  double request_started = 0;  // its start in terms of CapacityMeter
   TimePoint used_at;
 };
 
@@ -51,6 +55,12 @@
 
   void Expire(TimePoint now);
 
+  // Number of requests that the server runs at once.
+  void SetSlots(TimePoint now, std::uint32_t slots);
+  // Requests per second that the server completes when all its slots are busy;
+  // 0: not measured yet.
+  double Capacity() const { return this->meter.Capacity(); }
+
   std::vector<FlowReset> ResetsOfOpenFlows() const;
   std::uint32_t Running() const { return this->running; }
   std::uint32_t Open() const { return this->open; }
@@ -63,10 +73,15 @@
 
   void Touch(TimePoint now, ServerFlow& flow);
   void SetState(ServerFlow& flow, ServerFlowState state);
-  void SetRunning(ServerFlow& flow, bool running);
+  void BeginRequest(TimePoint now, ServerFlow& flow);
+  void EndRequest(TimePoint now, ServerFlow& flow, RequestEnd end);
+  // Returns whether the server has not sent the data of `packet` before.
+  static bool NoteServerData(ServerFlow& flow, const FlowPacket& packet);
 
   std::unordered_map<FlowKey, ServerFlow, FlowKeyHash> flows;
-  LruList lru;  // by last use, least recently used first
+  CapacityMeter meter;
+  TimePoint now;  // of the last packet or Expire()
+  LruList lru;    // by last use, least recently used first
   std::uint32_t running = 0;
   std::uint32_t open = 0;
   bool evicted = false;
--- a/src/core/flow/balancer/flow_balancer.cc
+++ b/src/core/flow/balancer/flow_balancer.cc
@@ -10,7 +10,8 @@
 #include "src/core/flow/forwarding/early_packets.h"
 #include "src/core/flow/forwarding/flow_cache.h"
 #include "src/core/flow/forwarding/flow_sender.h"
-#include "src/core/flow/placement/placement.h"
+#include "src/core/flow/placement/agent_query.h"
+#include "src/core/flow/placement/route_placement.h"
 #include "src/core/flow/search/flow_searcher.h"
 #include "src/core/flow/view/store_view.h"
 #include "src/core/flow/view/view_gossip.h"
@@ -95,6 +96,9 @@
   // balancer may have opened the flow.
   void RefuseOpening(const Opening& opening, std::string_view reason);
 
+  // Selects a server for `opening` among the services of its route.
+  RoutePlacement Place(const Opening& opening);
+
   std::string NameOfServer(ServerKey key);
 
   const FlowBalancerSettings settings;
@@ -103,6 +107,7 @@
   ViewGossip gossip;
   FlowCache cache;
   OpeningTable openings;
+  ServiceCapacities capacities;
   ResponseTimeout response_timeout;
   FlowSender sender;
   FlowSearcher searcher;
@@ -363,9 +368,7 @@
     this->RefuseOpening(opening, reason);
     return;
   }
-  const Placement placement =
-      PlaceFlow(this->now, servers, opening.service, opening.flow,
-                this->settings.node.zone, opening.attempted_servers);
+  const auto [placement, overflow] = this->Place(opening);
   if (placement.status == PlacementStatus::kNoServer) {
     this->RefuseOpening(
         opening, opening.attempted_servers.empty() ? "no_server" : reason);
@@ -387,7 +390,7 @@
                                              : FlowEventKind::kReassigned,
                                          opening.flow);
   event.server = entry.server.name;
-  event.reason = reason;
+  event.reason = overflow ? "overflow" : reason;
   event.version = this->view.Routes().Version();
   event.running = entry.load.running;
   event.count = static_cast<std::uint32_t>(opening.attempted_servers.size());
@@ -400,6 +403,18 @@
   this->sender.Forward(entry, MarkPurpose::kOpening, opening.packet);
 }
 
+RoutePlacement FlowBalancer::Impl::Place(const Opening& opening) {
+  const PlacementContext context{this->view.Servers(), this->capacities,
+                                 this->settings.node.zone,
+                                 this->settings.strict_weights};
+  const FlowRoute* route =
+      this->view.Routes().Find(opening.flow.service_address);
+  return PlaceOnRoute(
+      this->now, context, opening.service,
+      route == nullptr ? std::vector<ServiceShare>() : route->services,
+      opening.flow, opening.attempted_servers);
+}
+
 void FlowBalancer::Impl::RefuseOpening(const Opening& opening,
                                        std::string_view reason) {
   const FlowKey flow = opening.flow;
@@ -465,11 +480,16 @@
 void FlowBalancer::Impl::QueryAgents() {
   std::size_t queries = 0;
   for (auto& [key, entry] : this->view.Servers().All()) {
+    if (!entry.listed || this->now - entry.queried_at < kQueryInterval) {
+      continue;
+    }
     const bool needs_query =
         !entry.agent_notice_received || entry.suspected ||
         this->now - entry.last_agent_notice_at > kQueryInterval;
-    if (!needs_query || this->now - entry.queried_at < kQueryInterval ||
-        !entry.listed) {
+    const ServiceCapacity& capacity = this->capacities.Get(
+        this->now, this->view.Servers(), entry.server.service);
+    const std::uint32_t max_running = MaxRunning(this->now, entry, capacity);
+    if (!needs_query && !HasOutdatedOrders(this->now, entry, max_running)) {
       continue;
     }
     if (++queries > kMaxQueriesPerTick) {
@@ -479,7 +499,8 @@
     OutgoingNotice query;
     query.host = entry.server.host;
     query.notice.kind = NoticeKind::kQuery;
-    query.notice.max_running = MaxRunning(entry);
+    query.notice.max_running = max_running;
+    query.notice.orders.slots = entry.server.slots;
     query.notice.service_tag = ServiceTag(entry.server.service);
     this->sender.Outbox().notices.push_back(std::move(query));
   }
--- a/src/core/flow/placement/placement.cc
+++ b/src/core/flow/placement/placement.cc
@@ -1,9 +1,11 @@
 #include "src/core/flow/placement/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "src/core/flow/common/flow_hash.h"
+#include "src/core/flow/placement/candidate_order.h"
 
 namespace cactuscross {
 namespace {
@@ -12,14 +14,6 @@
 // (kFirstBatchSize) has the same size, because it looks for flows placed here.
 constexpr std::size_t kChoices = 3;
 
-// Expected number of requests of an open flow that has none in progress.
-constexpr double kIdleFlowLoad = 0.05;
-
-// A server gets new flows until it has this many requests, in progress or
-// queued, per slot. A request then waits for about one service time, which
-// keeps within the response times that operators require.
-constexpr std::uint32_t kMaxLoadPerSlot = 2;
-
 // A server that has just started takes up to twice as long for a request.
 constexpr double kWarmupLoadFactor = 2.0;
 
@@ -58,12 +52,36 @@
   return (load + 1.0) * warmup_factor / std::max(entry.server.slots, 1U);
 }
 
-std::uint32_t MaxRunning(const ServerEntry& entry) {
-  return kMaxLoadPerSlot * entry.server.slots;
+double ExpectedCompletion(TimePoint now,
+                          const ServerEntry& entry,
+                          std::string_view own_zone,
+                          const ServiceCapacity& service) {
+  const double load = entry.load.running + entry.placed +
+                      service.flow_load * entry.load.open_flows + 1.0;
+  const double path =
+      entry.server.zone != own_zone ? kCrossZoneLoad / service.median : 0.0;
+  // A measured capacity includes the effect of warm-up.
+  const bool warms_up = now < entry.warmup_ends_at && entry.load.capacity <= 0;
+  return load * (warms_up ? kWarmupLoadFactor : 1.0) /
+             CapacityOf(now, entry, service) +
+         path;
+}
+
+std::uint32_t MaxRunning(TimePoint now,
+                         const ServerEntry& entry,
+                         const ServiceCapacity& service) {
+  if (!service.uneven) {
+    return kMaxLoadPerSlot * entry.server.slots;
+  }
+  const double requests = CapacityOf(now, entry, service) * service.max_wait;
+  return std::max(static_cast<std::uint32_t>(std::lround(requests)),
+                  entry.server.slots);
 }
 
-bool IsSaturated(const ServerEntry& entry) {
-  return entry.load.running + entry.placed >= MaxRunning(entry);
+bool IsSaturated(TimePoint now,
+                 const ServerEntry& entry,
+                 const ServiceCapacity& service) {
+  return entry.load.running + entry.placed >= MaxRunning(now, entry, service);
 }
 
 Placement PlaceFlow(TimePoint now,
@@ -71,12 +89,14 @@
                     ServiceId service,
                     const FlowKey& flow,
                     std::string_view own_zone,
-                    const std::vector<ServerKey>& excluded) {
+                    const std::vector<ServerKey>& excluded,
+                    const ServiceCapacity& capacity) {
   Placement best;
   ServerKey suspected = kNoServer;
   double best_score = 0;
   std::size_t compared = 0;
-  for (const ServerKey key : OrderServers(servers, service, flow)) {
+  CandidateOrder order(now, servers, service, flow, capacity);
+  for (ServerKey key = order.Next(); key != kNoServer; key = order.Next()) {
     const ServerEntry& entry = *servers.Find(key);
     if (!AcceptsNewFlows(now, entry) ||
         std::find(excluded.begin(), excluded.end(), key) != excluded.end()) {
@@ -86,11 +106,13 @@
       suspected = suspected == kNoServer ? key : suspected;
       continue;
     }
-    if (IsSaturated(entry)) {
+    if (IsSaturated(now, entry, capacity)) {
       best.status = compared == 0 ? PlacementStatus::kSaturated : best.status;
       continue;
     }
-    const double score = LoadScore(now, entry, own_zone);
+    const double score =
+        capacity.uneven ? ExpectedCompletion(now, entry, own_zone, capacity)
+                        : LoadScore(now, entry, own_zone);
     if (compared == 0 || score < best_score) {
       best = {PlacementStatus::kPlaced, key};
       best_score = score;
@@ -100,7 +122,7 @@
     }
   }
   if (best.status == PlacementStatus::kNoServer && suspected != kNoServer) {
-    return {PlacementStatus::kPlaced, suspected};
+    return {PlacementStatus::kPlaced, suspected, true};
   }
   return best;
 }
--- a/src/core/flow/placement/placement.h
+++ b/src/core/flow/placement/placement.h
@@ -2,11 +2,14 @@
 #define CACTUSCROSS_SRC_CORE_FLOW_PLACEMENT_PLACEMENT_H_
 
 // Selects a server for a new flow: the least loaded of the first few candidates
-// in the flow's rendezvous order (power of d choices).
+// in the flow's rendezvous order (power of d choices). Where the servers of the
+// service have uneven capacities, the order is weighted by capacity and the
+// candidates are compared by expected completion.
 
 #include <string_view>
 #include <vector>
 
+#include "src/core/flow/placement/service_capacity.h"
 #include "src/core/flow/view/server_table.h"
 
 namespace cactuscross {
@@ -22,12 +25,24 @@
                  const ServerEntry& entry,
                  std::string_view own_zone);
 
-// Number of requests in progress at which a server gets no new flows.
-std::uint32_t MaxRunning(const ServerEntry& entry);
+// Time until `entry` would have completed another request, in seconds, by which
+// candidates are compared where `service` is uneven.
+double ExpectedCompletion(TimePoint now,
+                          const ServerEntry& entry,
+                          std::string_view own_zone,
+                          const ServiceCapacity& service);
+
+// Number of requests in progress at which a server gets no new flows; at least
+// one for each slot.
+std::uint32_t MaxRunning(TimePoint now,
+                         const ServerEntry& entry,
+                         const ServiceCapacity& service = {});
 
 // True if another request would wait on the server for longer than roughly one
 // service time.
-bool IsSaturated(const ServerEntry& entry);
+bool IsSaturated(TimePoint now,
+                 const ServerEntry& entry,
+                 const ServiceCapacity& service = {});
 
 enum class PlacementStatus : std::uint8_t {
   kPlaced,
@@ -38,6 +53,7 @@
 struct Placement {
   PlacementStatus status = PlacementStatus::kNoServer;
   ServerKey server = kNoServer;
+  bool suspected = false;  // `server` is, and there is no other one
 };
 
 // Selects a server for `flow` that accepts new flows and is not in `excluded`.
@@ -47,7 +63,8 @@
                     ServiceId service,
                     const FlowKey& flow,
                     std::string_view own_zone,
-                    const std::vector<ServerKey>& excluded);
+                    const std::vector<ServerKey>& excluded,
+                    const ServiceCapacity& capacity = {});
 
 }  // namespace cactuscross
 
--- a/src/core/flow/view/server_table.cc
+++ b/src/core/flow/view/server_table.cc
@@ -91,6 +91,7 @@
 
 void ResetLoad(ServerEntry& entry) {
   entry.load = ServerLoad();
+  entry.agent_max_running = 0;
   entry.agent_notice_received = false;
   entry.placed = 0;
   entry.unanswered = 0;
@@ -262,6 +263,7 @@
         ServerEvent(FlowEventKind::kServerSuspicionCleared, *entry));
   }
   entry->load = notice.load;
+  entry->agent_max_running = notice.max_running;
   entry->agent_notice_received = true;
   entry->last_agent_notice_at = now;
   entry->placed = 0;
@@ -323,6 +325,11 @@
   return found == this->entries.end() ? nullptr : &found->second;
 }
 
+const ServerEntry* ServerTable::Find(ServerKey key) const {
+  const auto found = this->entries.find(key);
+  return found == this->entries.end() ? nullptr : &found->second;
+}
+
 ServerEntry* ServerTable::FindByHost(std::uint32_t host,
                                      std::uint32_t service_tag) {
   ServerEntry* newest = nullptr;
--- a/src/core/flow/view/server_table.h
+++ b/src/core/flow/view/server_table.h
@@ -27,7 +27,10 @@
   ServerLoad load;
   bool agent_notice_received = false;  // since the server's last start
   TimePoint last_agent_notice_at;
-  TimePoint queried_at;      // last query to its agent
+  TimePoint queried_at;  // last query to its agent
+  // FlowNotice::max_running of its last notice; 0: its agent knows no limit or
+  // does not report it.
+  std::uint32_t agent_max_running = 0;
   std::uint32_t placed = 0;  // openings sent since the last notice
   // Consecutive openings that its agent left unanswered.
   std::uint32_t unanswered = 0;
@@ -84,6 +87,7 @@
   std::uint64_t ListedHash() const;
 
   ServerEntry* Find(ServerKey key);
+  const ServerEntry* Find(ServerKey key) const;
   // Finds the server on `host` whose service has the given tag, the newest one
   // if there are several.
   ServerEntry* FindByHost(std::uint32_t host, std::uint32_t service_tag);
