--- a/src/core/flow/balancer/agent_queries.cc
+++ b/src/core/flow/balancer/agent_queries.cc
@@ -60,6 +60,7 @@
       view.Orders().StateOf(entry.server.zone, view.OrdersReadPosition());
   orders.evacuated = order.evacuated;
   orders.evacuation_position = order.position;
+  orders.slots = entry.server.slots;
   // Also for a warm server: the agent may know better that it has just started.
   if (const WarmupLimit* limit =
           view.Routes().FindWarmupLimit(entry.server.service)) {
@@ -87,8 +88,10 @@
                               : has_limit && since >= kQueryInterval;
 }
 
-void PauseIfRateLimited(TimePoint now, ServerEntry& entry) {
-  if (!IsSaturated(entry)) {
+void PauseIfRateLimited(TimePoint now,
+                        const ServiceCapacity& capacity,
+                        ServerEntry& entry) {
+  if (!IsSaturated(now, entry, capacity)) {
     entry.paused_until = now + kRateLimitPause;
     entry.orders_changed = true;
   }
--- a/src/core/flow/balancer/agent_queries.h
+++ b/src/core/flow/balancer/agent_queries.h
@@ -10,6 +10,7 @@
 #include "cactuscross/flow_message.h"
 #include "cactuscross/flow_settings.h"
 #include "cactuscross/observation.h"
+#include "src/core/flow/placement/service_capacity.h"
 #include "src/core/flow/view/store_view.h"
 
 namespace cactuscross {
@@ -33,7 +34,9 @@
 
 // Suspends placement on a server whose agent refused an opening although the
 // server has free capacity, because a limit of openings per second is reached.
-void PauseIfRateLimited(TimePoint now, ServerEntry& entry);
+void PauseIfRateLimited(TimePoint now,
+                        const ServiceCapacity& capacity,
+                        ServerEntry& entry);
 
 // True if the settings bound the openings of servers that warm up.
 bool HasWarmupBound(const FlowNodeSettings& settings);
--- a/src/core/flow/balancer/flow_balancer.cc
+++ b/src/core/flow/balancer/flow_balancer.cc
@@ -12,8 +12,9 @@
 #include "src/core/flow/forwarding/early_packets.h"
 #include "src/core/flow/forwarding/flow_cache.h"
 #include "src/core/flow/forwarding/flow_sender.h"
+#include "src/core/flow/placement/agent_query.h"
 #include "src/core/flow/placement/evacuated_service.h"
-#include "src/core/flow/placement/placement.h"
+#include "src/core/flow/placement/route_placement.h"
 #include "src/core/flow/search/flow_searcher.h"
 #include "src/core/flow/view/store_view.h"
 #include "src/core/flow/view/view_gossip.h"
@@ -79,6 +80,10 @@
   void ReadPackets(const std::vector<FlowPacket>& packets);
   void ProcessOpeningTimeouts();
   void QueryAgents();
+  // True if the agent of `entry` is silent or works with outdated orders.
+  bool IsQueryDue(ServerEntry& entry);
+  // Number of requests in progress at which `entry` gets no new flows.
+  std::uint32_t MaxRunningOf(const ServerEntry& entry);
   void UpdateReadiness(bool stop_requested);
 
   void OnNotice(const FlowNotice& notice);
@@ -118,6 +123,8 @@
   OfferResult Place(Opening& opening, bool keep_reserve) override;
   void Refuse(Opening& opening, const AdmissionRefusal& refusal) override;
   void ReportWaiting(const Opening& opening) override;
+  // Selects a server for `opening` among the services of its route.
+  RoutePlacement SelectServer(const Opening& opening, bool keep_reserve);
 
   std::string NameOfServer(ServerKey key);
 
@@ -128,6 +135,7 @@
   FlowCache cache;
   OpeningTable openings;
   std::unique_ptr<AdmissionPolicy> admission;
+  ServiceCapacities capacities;
   ResponseTimeout response_timeout;
   FlowSender sender;
   FlowSearcher searcher;
@@ -274,7 +282,11 @@
   } else if (!opening->waiting) {
     this->response_timeout.NoteAnswered(this->now);
     opening->attempted_servers.pop_back();
-    PauseIfRateLimited(this->now, *this->view.Servers().Find(server));
+    ServerEntry& entry = *this->view.Servers().Find(server);
+    PauseIfRateLimited(this->now,
+                       this->capacities.Get(this->now, this->view.Servers(),
+                                            entry.server.service),
+                       entry);
     this->admission->NoteReturned(this->now, *opening);
     this->SendToNextServer(*opening, "server_saturated");
   }
@@ -445,9 +457,7 @@
     this->RefuseOpening(opening, reason);
     return OfferResult::kErased;
   }
-  const Placement placement = PlaceFlow(
-      this->now, servers, opening.service, opening.flow,
-      this->settings.node.zone, opening.attempted_servers, keep_reserve);
+  const auto [placement, overflow] = this->SelectServer(opening, keep_reserve);
   if (placement.status == PlacementStatus::kNoServer) {
     if (IsServiceEvacuated(this->now, servers, opening.service)) {
       reason = kZoneEvacuatedReason;
@@ -477,7 +487,7 @@
                                              : FlowEventKind::kReassigned,
                                          opening.flow);
   event.server = entry.server.name;
-  event.reason = reason;
+  event.reason = overflow ? "overflow" : reason;
   event.version = this->view.Routes().Version();
   event.running = entry.load.running;
   event.count = static_cast<std::uint32_t>(opening.attempted_servers.size());
@@ -491,6 +501,19 @@
   return OfferResult::kPlaced;
 }
 
+RoutePlacement FlowBalancer::Impl::SelectServer(const Opening& opening,
+                                                bool keep_reserve) {
+  const PlacementContext context{this->view.Servers(), this->capacities,
+                                 this->settings.node.zone,
+                                 this->settings.strict_weights, keep_reserve};
+  const FlowRoute* route =
+      this->view.Routes().Find(opening.flow.service_address);
+  return PlaceOnRoute(
+      this->now, context, opening.service,
+      route == nullptr ? std::vector<ServiceShare>() : route->services,
+      opening.flow, opening.attempted_servers);
+}
+
 void FlowBalancer::Impl::RefuseOpening(const Opening& opening,
                                        std::string_view reason) {
   const FlowKey flow = opening.flow;
@@ -564,6 +587,31 @@
   event.age = this->now - opening.started_at;
 }
 
+std::uint32_t FlowBalancer::Impl::MaxRunningOf(const ServerEntry& entry) {
+  return MaxRunning(this->now, entry,
+                    this->capacities.Get(this->now, this->view.Servers(),
+                                         entry.server.service));
+}
+
+bool FlowBalancer::Impl::IsQueryDue(ServerEntry& entry) {
+  if (AreOrdersDue(this->now, this->view, entry)) {
+    return true;
+  }
+  if (this->now - entry.queried_at < kQueryInterval) {
+    return false;
+  }
+  if (!entry.agent_notice_received || entry.suspected ||
+      this->now - entry.last_agent_notice_at > kQueryInterval) {
+    return true;
+  }
+  // Only a notice can show that the agent's orders are outdated.
+  if (entry.last_agent_notice_at <= entry.orders_checked_at) {
+    return false;
+  }
+  entry.orders_checked_at = this->now;
+  return HasOutdatedOrders(this->now, entry, this->MaxRunningOf(entry));
+}
+
 void FlowBalancer::Impl::QueryAgents() {
   if (HasWarmupBound(this->settings.node) && !this->view.IsLoaded()) {
     // An agent takes a query without a limit to mean that there is none.
@@ -571,13 +619,7 @@
   }
   std::size_t queries = 0;
   for (auto& [key, entry] : this->view.Servers().All()) {
-    const bool needs_query =
-        !entry.agent_notice_received || entry.suspected ||
-        this->now - entry.last_agent_notice_at > kQueryInterval;
-    const bool is_due =
-        needs_query && this->now - entry.queried_at >= kQueryInterval;
-    if (!entry.listed ||
-        (!is_due && !AreOrdersDue(this->now, this->view, entry))) {
+    if (!entry.listed || !this->IsQueryDue(entry)) {
       continue;
     }
     if (++queries > kMaxQueriesPerTick) {
@@ -588,7 +630,7 @@
     OutgoingNotice query;
     query.host = entry.server.host;
     query.notice.kind = NoticeKind::kQuery;
-    query.notice.max_running = MaxRunning(entry);
+    query.notice.max_running = this->MaxRunningOf(entry);
     query.notice.orders = MakeAgentOrders(this->now, this->view, entry);
     query.notice.service_tag = ServiceTag(entry.server.service);
     this->sender.Outbox().notices.push_back(std::move(query));
--- a/src/core/flow/view/server_table.cc
+++ b/src/core/flow/view/server_table.cc
@@ -91,6 +91,8 @@
 
 void ResetLoad(ServerEntry& entry) {
   entry.load = ServerLoad();
+  entry.capacity = 0;
+  entry.agent_max_running = 0;
   entry.agent_notice_received = false;
   entry.placed = 0;
   entry.unanswered = 0;
@@ -286,6 +288,11 @@
         ServerEvent(FlowEventKind::kServerSuspicionCleared, *entry));
   }
   entry->load = notice.load;
+  if (notice.load.capacity > 0) {
+    entry->capacity = notice.load.capacity;
+    entry->capacity_at = now;
+  }
+  entry->agent_max_running = notice.max_running;
   entry->agent_notice_received = true;
   entry->last_agent_notice_at = now;
   entry->placed = 0;
@@ -347,6 +354,11 @@
   return found == this->entries.end() ? nullptr : &found->second;
 }
 
+const ServerEntry* ServerTable::Find(ServerKey key) const {
+  const auto found = this->entries.find(key);
+  return found == this->entries.end() ? nullptr : &found->second;
+}
+
 ServerEntry* ServerTable::FindByHost(std::uint32_t host,
                                      std::uint32_t service_tag) {
   ServerEntry* newest = nullptr;
--- a/src/core/flow/view/server_table.h
+++ b/src/core/flow/view/server_table.h
@@ -27,9 +27,17 @@
   TimePoint warmup_ends_at;  // the server is slow until then
 
   ServerLoad load;
+  // Last measured ServerLoad::capacity and the time of its notice. An agent
+  // that has restarted reports none for a while.
+  double capacity = 0;
+  TimePoint capacity_at;
   bool agent_notice_received = false;  // since the server's last start
   TimePoint last_agent_notice_at;
-  TimePoint queried_at;      // last query to its agent
+  TimePoint queried_at;         // last query to its agent
+  TimePoint orders_checked_at;  // last check whether its agent needs a query
+  // FlowNotice::max_running of its last notice; 0: its agent knows no limit or
+  // does not report it.
+  std::uint32_t agent_max_running = 0;
   std::uint32_t placed = 0;  // openings sent since the last notice
   // Consecutive openings that its agent left unanswered.
   std::uint32_t unanswered = 0;
@@ -99,6 +107,7 @@
   std::uint64_t ListedHash() const;
 
   ServerEntry* Find(ServerKey key);
+  const ServerEntry* Find(ServerKey key) const;
   // Finds the server on `host` whose service has the given tag, the newest one
   // if there are several.
   ServerEntry* FindByHost(std::uint32_t host, std::uint32_t service_tag);
