--- a/src/core/agent/limit_system.h
+++ b/src/core/agent/limit_system.h
@@ -28,7 +28,7 @@
   // Returns the number of open sessions that this agent may hold.
   std::uint32_t SessionShare() const { return this->session_share; }
   // False if the contract does not list this agent as serving.
-  bool HasShare() const { return this->position.count > 0; }
+  bool HasReachedShare() const { return this->position.count > 0; }
 
   void HandleLoanRequest(const PeerEnvelope& envelope,
                          const LoanRequest& request);
--- a/src/core/agent/request_system.cc
+++ b/src/core/agent/request_system.cc
@@ -77,8 +77,8 @@
   if (!server.Verified() || server.IsUnavailable(this->context.now)) {
     return ResultCode::kServerNotVerified;
   }
-  return this->limits.HasShare() ? ResultCode::kOk
-                                 : ResultCode::kRefusedNoServer;
+  return this->limits.HasReachedShare() ? ResultCode::kOk
+                                        : ResultCode::kRefusedNoServer;
 }
 
 ResultCode RequestSystem::CheckNew(const CoapMessage& message) {
--- a/src/core/flow/admission/caller_shares.cc
+++ b/src/core/flow/admission/caller_shares.cc
@@ -105,7 +105,8 @@
   this->shares[service] = share + kToleratedDeviations * std::sqrt(share);
 }
 
-bool CallerShares::HasShare(ServiceId service, std::uint32_t caller) const {
+bool CallerShares::HasReachedShare(ServiceId service,
+                                   std::uint32_t caller) const {
   const auto found = this->shares.find(service);
   return found != this->shares.end() &&
          this->PlacedCount(MakeKey(service, caller)) >= found->second;
--- a/src/core/flow/admission/caller_shares.h
+++ b/src/core/flow/admission/caller_shares.h
@@ -35,7 +35,7 @@
 
   // True if the caller has got its share of the placements of the last one to
   // two seconds, and waiting callers have not.
-  bool HasShare(ServiceId service, std::uint32_t caller) const;
+  bool HasReachedShare(ServiceId service, std::uint32_t caller) const;
 
   std::size_t Size() const { return this->tables[0].Size(); }
 
--- a/src/core/flow/admission/priority_admission.cc
+++ b/src/core/flow/admission/priority_admission.cc
@@ -210,7 +210,7 @@
   bool reserve_reached = false;
   std::size_t inconclusive = 0;
   service.queue.VisitInOrder(
-      [this](const Opening& opening) { return this->HasShare(opening); },
+      [this](const Opening& opening) { return this->HasReachedShare(opening); },
       [&](Opening& opening) {
         const bool keep_reserve = this->MustKeepReserve(now, opening);
         const bool is_new = opening.attempted_servers.empty();
@@ -231,8 +231,9 @@
   return lower_due;
 }
 
-bool PriorityAdmission::HasShare(const Opening& opening) const {
-  return this->shares.HasShare(opening.service, opening.flow.client.address);
+bool PriorityAdmission::HasReachedShare(const Opening& opening) const {
+  return this->shares.HasReachedShare(opening.service,
+                                      opening.flow.client.address);
 }
 
 void PriorityAdmission::UpdateShare(TimePoint now,
@@ -267,7 +268,7 @@
   if (left >= Duration{0} && !is_hopeless) {
     return std::nullopt;
   }
-  refusal.reason = this->HasShare(opening) ? "fair_share" : "deadline";
+  refusal.reason = this->HasReachedShare(opening) ? "fair_share" : "deadline";
   refusal.detail = "left to place it: " + FormatMs(left);
   if (wait.has_value()) {
     refusal.detail += ", expected wait: " + FormatMs(*wait);
@@ -287,7 +288,7 @@
   std::vector<std::pair<Opening*, AdmissionRefusal>> refused;
   std::uint32_t ahead = 0;
   service.queue.VisitInOrder(
-      [this](const Opening& opening) { return this->HasShare(opening); },
+      [this](const Opening& opening) { return this->HasReachedShare(opening); },
       [&](Opening& opening) {
         opening.ahead = std::min(opening.ahead, ahead);
         if (auto refusal = this->FindRefusal(now, service, opening)) {
--- a/src/core/flow/admission/priority_admission.h
+++ b/src/core/flow/admission/priority_admission.h
@@ -79,7 +79,7 @@
   void ReportOnce(Opening& opening, AdmissionActions& actions);
   // Records the arrival of the openings that could not be placed.
   static void NoteWaiting(Service& service);
-  bool HasShare(const Opening& opening) const;
+  bool HasReachedShare(const Opening& opening) const;
 
   MetricSet& metrics;
   std::unordered_map<ServiceId, Service> services;
--- a/src/core/flow/admission/service_queue.h
+++ b/src/core/flow/admission/service_queue.h
@@ -40,8 +40,8 @@
   // Calls `visit(Opening&)` for each opening in order until it returns false.
   // `visit` may remove the opening it is called with, but no other.
   // `has_share(const Opening&)` tells whether the caller has got its share.
-  template <typename HasShare, typename Visit>
-  void VisitInOrder(HasShare has_share, Visit visit);
+  template <typename HasReachedShare, typename Visit>
+  void VisitInOrder(HasReachedShare has_share, Visit visit);
   // The same in order of joining the queue.
   template <typename Visit>
   void VisitByArrival(std::size_t level, Visit visit);
@@ -85,18 +85,18 @@
   };
 
   // Visits the openings of callers without their share; collects the others.
-  template <typename Set, typename HasShare, typename Visit>
+  template <typename Set, typename HasReachedShare, typename Visit>
   static bool VisitWithoutShare(Set& set,
-                                HasShare has_share,
+                                HasReachedShare has_share,
                                 Visit visit,
                                 std::vector<Opening*>& with_share);
 
   std::array<Level, kPriorityLevels> levels;
 };
 
-template <typename Set, typename HasShare, typename Visit>
+template <typename Set, typename HasReachedShare, typename Visit>
 bool ServiceQueue::VisitWithoutShare(Set& set,
-                                     HasShare has_share,
+                                     HasReachedShare has_share,
                                      Visit visit,
                                      std::vector<Opening*>& with_share) {
   for (auto next = set.begin(); next != set.end();) {
@@ -111,8 +111,8 @@
   return true;
 }
 
-template <typename HasShare, typename Visit>
-void ServiceQueue::VisitInOrder(HasShare has_share, Visit visit) {
+template <typename HasReachedShare, typename Visit>
+void ServiceQueue::VisitInOrder(HasReachedShare has_share, Visit visit) {
   std::array<std::vector<Opening*>, kPriorityLevels> with_share;
   for (std::size_t i = 0; i < kPriorityLevels; ++i) {
     if (!VisitWithoutShare(this->levels[i].in_time, has_share, visit,
--- a/tests/flow/test_flow_admission.cc
+++ b/tests/flow/test_flow_admission.cc
@@ -381,13 +381,13 @@
     }
     CPPUNIT_ASSERT(shares.Size() <= SpaceSavingTable::kMaxKeys);
     shares.UpdateShare(kStart, kService, waiting);
-    CPPUNIT_ASSERT(shares.HasShare(kService, kGreedy));
+    CPPUNIT_ASSERT(shares.HasReachedShare(kService, kGreedy));
     for (std::uint32_t caller = 1000; caller < 6000; ++caller) {
-      CPPUNIT_ASSERT(!shares.HasShare(kService, caller));
+      CPPUNIT_ASSERT(!shares.HasReachedShare(kService, caller));
     }
-    CPPUNIT_ASSERT(!shares.HasShare(ServiceId{2}, kGreedy));
+    CPPUNIT_ASSERT(!shares.HasReachedShare(ServiceId{2}, kGreedy));
     shares.RemoveShare(kService);
-    CPPUNIT_ASSERT(!shares.HasShare(kService, kGreedy));
+    CPPUNIT_ASSERT(!shares.HasReachedShare(kService, kGreedy));
   }
 
   // Load: a service that takes 150 ms of a target of 200 ms. Guards against
