--- a/include/cactuscross/flow_event.h
+++ b/include/cactuscross/flow_event.h
@@ -45,9 +45,10 @@
   kStopping,                // the process was requested to stop
   kZoneEvacuated,           // servers of a zone get no more new flows
   kZoneReturned,            // the order to evacuate a zone was withdrawn
+  kAdmissionChanged,        // openings that wait are ordered by another policy
 };
 
-inline constexpr std::size_t kFlowEventKinds = 29;
+inline constexpr std::size_t kFlowEventKinds = 30;
 
 std::string_view NameOf(FlowEventKind kind);
 
--- a/include/cactuscross/flow_gossip.h
+++ b/include/cactuscross/flow_gossip.h
@@ -52,6 +52,9 @@
   // differs only if one of two balancers knows more than the store from which
   // the other has read.
   std::uint64_t servers_hash = 0;
+  // kDigest: the sender knows no server that may hold flows and that the store
+  // does not list.
+  bool lists_all_servers = false;
   std::vector<Endpoint> peers;        // kDigest: some live peers of the sender
   std::vector<ReaderStatus> readers;  // kDigest: the designated ones
   GossipPart part;                    // kRoutes, kServers
--- a/include/cactuscross/flow_message.h
+++ b/include/cactuscross/flow_message.h
@@ -28,6 +28,9 @@
   kLookup = 9,        // balancer: requests kLookupReply
   kLookupReply = 10,  // agent: which of the flows in kLookup the server holds
   kRelay = 11,        // balancer: forward a packet to several agents
+  kRelayReply = 12,   // agent: answers to the packet that it relayed
+  kOffer = 13,        // agent: kLoad, and a place for one opening is reserved
+                      // for the balancer for kOfferLifetime
 };
 
 enum class LookupResult : std::uint8_t {
@@ -58,6 +61,9 @@
   double capacity = 0;
   bool evacuated =
       false;  // the agent refuses new flows by order of the operator
+  // The agent started after its server and does not know all flows that the
+  // server holds: it answers kUnknown to lookups of the others.
+  bool lookup_needs_packet = false;
 };
 
 // What a balancer tells an agent about its server, as far as it knows.
@@ -69,6 +75,17 @@
   std::uint32_t slots = 0;  // 0: unknown
 };
 
+// Openings of a balancer that wait for a place at a service.
+struct WaitingOpenings {
+  std::uint32_t count = 0;
+  // Of the one that is placed next; the lowest rank is the most urgent.
+  std::uint32_t rank = 0;
+};
+
+// Time for which a place that was offered stays reserved: a round trip between
+// availability zones and the scheduling delay of a small host.
+inline constexpr Duration kOfferLifetime{10000};
+
 struct FlowNotice {
   NoticeKind kind = NoticeKind::kLoad;
   std::uint32_t sender = 0;  // IPv4 source address of the datagram
@@ -77,10 +94,17 @@
   // Number of requests in progress at which the server gets no new flows. In
   // notices of agents the one in force, as far as the agent knows; else 0.
   std::uint32_t max_running = 0;
-  AgentOrders orders;               // kQuery
-  std::vector<FlowLookup> lookups;  // kLookup, kLookupReply; up to kMaxLookups
-  ServerLoad load;                  // unset in kQuery and kLookup
-  std::vector<std::uint32_t> relay_hosts;  // kRelay: IPv4 addresses of agents
+  AgentOrders orders;       // kQuery
+  WaitingOpenings waiting;  // kQuery; count 0: no offers are wanted
+  // kLookup, kLookupReply: up to kMaxLookups. kRelayReply: one, the answer of
+  // the agents on `relay_hosts`.
+  std::vector<FlowLookup> lookups;
+  ServerLoad load;  // unset in kQuery and kLookup
+  // kRelay, kRelayReply: IPv4 addresses of agents; up to kMaxRelayHosts.
+  std::vector<std::uint32_t> relay_hosts;
+  // kRelay: the relaying agent collects the answers for a kRelayReply. An agent
+  // of the previous version ignores this, and each agent answers the balancer.
+  bool collect_answers = false;
   // kRelay: the packet to forward. kNotHeld, kWrongService: the rejected
   // packet, so that the balancer can send it elsewhere, and its acknowledgement
   // number. Both are unset in kNotHeld in reply to a search, whose packets the
--- a/include/cactuscross/flow_settings.h
+++ b/include/cactuscross/flow_settings.h
@@ -43,10 +43,11 @@
   std::vector<Endpoint> seeds;  // control addresses of some balancers, to
                                 // join the gossip
   bool batched_lookup = true;   // look up flows by key, many in a datagram
-  bool priority_admission = false;  // order waiting openings by priority and
-                                    // deadline instead of newest first
-  bool strict_weights = false;      // never use another service of a route
-                                    // because the chosen one has no capacity
+  // Order waiting openings by priority and deadline instead of newest first,
+  // where the routes publish priorities.
+  bool priority_admission = true;
+  bool strict_weights = false;  // never use another service of a route because
+                                // the chosen one has no capacity
 };
 
 struct FlowAgentSettings {
--- a/src/config/field_table.cc
+++ b/src/config/field_table.cc
@@ -164,7 +164,7 @@
     FieldRow<FlowBalancerSettings>{
         {"priority_admission", kOptional, kNoBounds, "",
          "Order openings that wait for a server by priority and deadline "
-         "instead of newest first."},
+         "instead of newest first, where routes publish priorities."},
         &FlowBalancerSettings::priority_admission},
     FieldRow<FlowBalancerSettings>{
         {"strict_weights", kOptional, kNoBounds, "",
--- a/src/core/flow/admission/admission_policy.h
+++ b/src/core/flow/admission/admission_policy.h
@@ -10,7 +10,10 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
+#include "cactuscross/flow_message.h"
 #include "cactuscross/flow_types.h"
 #include "src/core/common/metric_set.h"
 #include "src/core/flow/admission/opening_table.h"
@@ -49,6 +52,9 @@
  public:
   virtual ~AdmissionPolicy() = default;
 
+  // Name for logs.
+  virtual std::string_view Name() const = 0;
+
   // Records a new opening. Returns whether it may be sent to a server at once;
   // otherwise it was queued.
   virtual bool Admit(TimePoint now, Opening& opening) = 0;
@@ -79,6 +85,11 @@
       TimePoint now,
       const FlowKey& flow) = 0;
 
+  // Openings that wait for a place at each service. Empty if the policy does
+  // not use offers of agents.
+  virtual std::vector<std::pair<ServiceId, WaitingOpenings>> Waiting()
+      const = 0;
+
   // Refuses and places waiting openings.
   virtual void Tick(TimePoint now, AdmissionActions& actions) = 0;
 };
--- a/src/core/flow/admission/newest_first.h
+++ b/src/core/flow/admission/newest_first.h
@@ -12,6 +12,7 @@
  public:
   explicit NewestFirst(OpeningTable& openings) : openings(openings) {}
 
+  std::string_view Name() const override { return "newest_first"; }
   bool Admit(TimePoint /*now*/, Opening& /*opening*/) override { return true; }
   bool Enqueue(TimePoint /*now*/, Opening& /*opening*/) override {
     return true;
@@ -35,6 +36,9 @@
       const FlowKey& /*flow*/) override {
     return std::nullopt;
   }
+  std::vector<std::pair<ServiceId, WaitingOpenings>> Waiting() const override {
+    return {};
+  }
   void Tick(TimePoint now, AdmissionActions& actions) override;
 
  private:
--- a/src/core/flow/admission/priority_admission.cc
+++ b/src/core/flow/admission/priority_admission.cc
@@ -98,6 +98,11 @@
     return now - times.last_waited_at <= kReserveTime;
   };
   const auto own = levels.begin() + static_cast<std::ptrdiff_t>(level);
+  if (now > opening.place_by_for_target) {
+    // A late opening must not take what the openings in time leave free.
+    return std::any_of(levels.begin(), own, waited) ||
+           std::any_of(own + 1, levels.end(), waited);
+  }
   return std::none_of(own + 1, levels.end(), arrived) &&
          std::any_of(levels.begin(), own, waited);
 }
@@ -163,6 +168,18 @@
   return this->repeated_requests.Take(now, flow);
 }
 
+std::vector<std::pair<ServiceId, WaitingOpenings>> PriorityAdmission::Waiting()
+    const {
+  std::vector<std::pair<ServiceId, WaitingOpenings>> all;
+  for (const auto& [id, service] : this->services) {
+    const WaitingOpenings waiting = service.queue.Summary();
+    if (waiting.count > 0) {
+      all.emplace_back(id, waiting);
+    }
+  }
+  return all;
+}
+
 void PriorityAdmission::Tick(TimePoint now, AdmissionActions& actions) {
   for (auto& [id, service] : this->services) {
     if (service.queue.IsEmpty()) {
@@ -183,8 +200,8 @@
 
 void PriorityAdmission::NoteWaiting(Service& service) {
   for (std::size_t level = 0; level < kPriorityLevels; ++level) {
-    if (const Opening* newest = service.queue.NewestOf(level)) {
-      service.levels[level].last_waited_at = newest->queued_at;
+    if (const auto last = service.queue.LastQueuedInTime(level)) {
+      service.levels[level].last_waited_at = *last;
     }
   }
 }
@@ -197,7 +214,7 @@
            service.queue.HasLowerLevels();
   };
   if (is_lower_due()) {
-    Opening* opening = service.queue.LongestWaitingBelowHighest(now);
+    Opening* opening = service.queue.NextBelowHighest(now);
     // The reserve does not apply, as it would end the minimum share.
     if (opening != nullptr &&
         actions.Place(*opening, false) == OfferResult::kSaturated &&
--- a/src/core/flow/admission/priority_admission.h
+++ b/src/core/flow/admission/priority_admission.h
@@ -26,6 +26,7 @@
  public:
   explicit PriorityAdmission(MetricSet& metrics) : metrics(metrics) {}
 
+  std::string_view Name() const override { return "priority"; }
   bool Admit(TimePoint now, Opening& opening) override;
   bool Enqueue(TimePoint now, Opening& opening) override;
   bool MustKeepReserve(TimePoint now, const Opening& opening) const override;
@@ -38,6 +39,7 @@
                  TimePoint request_started_at) override;
   std::optional<TimePoint> RepeatedRequestStart(TimePoint now,
                                                 const FlowKey& flow) override;
+  std::vector<std::pair<ServiceId, WaitingOpenings>> Waiting() const override;
   void Tick(TimePoint now, AdmissionActions& actions) override;
 
  private:
--- a/src/core/flow/admission/repeated_requests.cc
+++ b/src/core/flow/admission/repeated_requests.cc
@@ -5,9 +5,9 @@
 namespace cactuscross {
 namespace {
 
-// A client repeats the request of a reset opening at once. Longer than a round
-// trip between client and balancer.
-constexpr Duration kRetention{100000};
+// A client repeats the request of a reset flow at once, or after a random pause
+// of up to some 200 ms.
+constexpr Duration kRetention{250000};
 
 // As many as there are openings (kMaxOpenings): all may be refused at once.
 constexpr std::size_t kMaxResets = 4096;
--- a/src/core/flow/admission/service_queue.cc
+++ b/src/core/flow/admission/service_queue.cc
@@ -1,5 +1,7 @@
 #include "src/core/flow/admission/service_queue.h"
 
+#include <iterator>
+
 namespace cactuscross {
 
 void ServiceQueue::Add(TimePoint now, Opening& opening) {
@@ -33,9 +35,30 @@
   }
 }
 
-const Opening* ServiceQueue::NewestOf(std::size_t level) const {
-  const ArrivalList& arrivals = this->levels[level].arrivals;
-  return arrivals.empty() ? nullptr : &*arrivals.rbegin();
+std::optional<TimePoint> ServiceQueue::LastQueuedInTime(
+    std::size_t level) const {
+  std::optional<TimePoint> last;
+  for (const Opening& opening : this->levels[level].in_time) {
+    last = std::max(last.value_or(opening.queued_at), opening.queued_at);
+  }
+  return last;
+}
+
+WaitingOpenings ServiceQueue::Summary() const {
+  WaitingOpenings summary;
+  std::size_t rank = 2 * kPriorityLevels;
+  for (std::size_t i = 0; i < kPriorityLevels; ++i) {
+    const Level& level = this->levels[i];
+    if (!level.in_time.empty()) {
+      rank = std::min(rank, i);
+    } else if (!level.late.empty()) {
+      rank = std::min(rank, kPriorityLevels + i);
+    }
+    summary.count += static_cast<std::uint32_t>(
+        std::distance(level.arrivals.begin(), level.arrivals.end()));
+  }
+  summary.rank = static_cast<std::uint32_t>(rank);
+  return summary;
 }
 
 std::size_t ServiceQueue::HighestLevel() const {
@@ -45,7 +68,12 @@
   return static_cast<std::size_t>(found - this->levels.begin());
 }
 
-Opening* ServiceQueue::LongestWaitingBelowHighest(TimePoint now) {
+Opening* ServiceQueue::NextBelowHighest(TimePoint now) {
+  for (std::size_t i = this->HighestLevel() + 1; i < kPriorityLevels; ++i) {
+    if (!this->levels[i].in_time.empty()) {
+      return &*this->levels[i].in_time.begin();
+    }
+  }
   Opening* longest = nullptr;
   for (std::size_t i = this->HighestLevel() + 1; i < kPriorityLevels; ++i) {
     ArrivalList& arrivals = this->levels[i].arrivals;
--- a/src/core/flow/admission/service_queue.h
+++ b/src/core/flow/admission/service_queue.h
@@ -13,11 +13,13 @@
 #include <algorithm>
 #include <array>
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 #include <boost/intrusive/list.hpp>
 #include <boost/intrusive/set.hpp>
 
+#include "cactuscross/flow_message.h"
 #include "src/core/flow/admission/opening_table.h"
 
 namespace cactuscross {
@@ -37,6 +39,10 @@
   // Reorders the openings that can no longer meet their target.
   void MoveLate(TimePoint now);
 
+  // Ranks openings that can meet their target before the others, and each of
+  // the two by priority.
+  WaitingOpenings Summary() const;
+
   // Calls `visit(Opening&)` for each opening in order until it returns false.
   // `visit` may remove the opening it is called with, but no other.
   // `has_share(const Opening&)` tells whether the caller has got its share.
@@ -46,14 +52,17 @@
   template <typename Visit>
   void VisitByArrival(std::size_t level, Visit visit);
 
-  // The opening of `level` that joined last; null if there is none.
-  const Opening* NewestOf(std::size_t level) const;
+  // When the last opening of `level` joined that can still meet its target;
+  // nullopt if there is none.
+  std::optional<TimePoint> LastQueuedInTime(std::size_t level) const;
   // Highest priority level with a waiting opening; kPriorityLevels if there is
   // none.
   std::size_t HighestLevel() const;
-  // Among the openings below the highest waiting priority that can be answered
-  // within their limit, the one that has waited longest; null if there is none.
-  Opening* LongestWaitingBelowHighest(TimePoint now);
+  // The opening below the highest waiting priority that is placed next for the
+  // minimum share: the first that can still meet its target, else the one that
+  // has waited longest of those that can be answered within their limit; null
+  // if there is none.
+  Opening* NextBelowHighest(TimePoint now);
   // True if openings below the highest waiting priority wait.
   bool HasLowerLevels() const;
 
--- a/src/core/flow/agent/flow_agent.cc
+++ b/src/core/flow/agent/flow_agent.cc
@@ -7,8 +7,10 @@
 
 #include "src/core/common/metric_set.h"
 #include "src/core/flow/agent/agent_shutdown.h"
+#include "src/core/flow/agent/capacity_offers.h"
 #include "src/core/flow/agent/flow_lookup.h"
 #include "src/core/flow/agent/opening_rate_limit.h"
+#include "src/core/flow/agent/relayed_searches.h"
 #include "src/core/flow/agent/server_flows.h"
 #include "src/core/flow/agent/server_health_check.h"
 #include "src/core/flow/agent/zone_state.h"
@@ -59,10 +61,13 @@
   void ReadQueries(const std::vector<FlowNotice>& notices);
   void ReadLookups(const std::vector<FlowNotice>& notices);
   void ReadRelays(const std::vector<FlowNotice>& notices);
+  // Answers of other agents to relayed packets.
+  void ReadRelayedAnswers(const std::vector<FlowNotice>& notices);
   void ReadOrders(const FlowNotice& query);
   void ReadFromServer(const std::vector<FlowPacket>& packets);
   void ReadFromBalancers(const std::vector<FlowPacket>& packets);
   void CheckServer(ProbeResult probe);
+  void OfferCapacity();
   void AdvertiseLoad();
 
   void OnReturned(const FlowPacket& packet);
@@ -101,6 +106,8 @@
   std::deque<TimePoint> recent_openings;
   ZoneState zone_state;
   OpeningRateLimit rate_limit;
+  RelayedSearches relayed_searches;
+  CapacityOffers offers;
   std::uint32_t max_running = 0;  // from queries of balancers; 0: unknown
   std::uint32_t slots = 0;        // from queries of balancers; 0: unknown
   std::unordered_map<FlowKey, TimePoint, FlowKeyHash> returned_flows;
@@ -131,6 +138,7 @@
   this->ReadFromBalancers(inbox.from_balancers);
   this->ReadLookups(inbox.notices);
   this->ReadRelays(inbox.notices);
+  this->ReadRelayedAnswers(inbox.notices);
   this->CheckServer(inbox.probe);
   this->flows.Expire(now);
   if (inbox.stop_requested && this->shutdown.Request(now)) {
@@ -139,6 +147,7 @@
   }
   this->outbox.may_exit =
       this->shutdown.MayExit(now, this->flows.Running() == 0);
+  this->OfferCapacity();
   this->AdvertiseLoad();
   for (const FlowEvent& event : this->outbox.events) {
     this->metrics.Count("flow_events", "event", NameOf(event.kind));
@@ -156,6 +165,7 @@
       continue;
     }
     this->ReadOrders(notice);
+    this->offers.NoteWaiting(this->now, notice.sender, notice.waiting);
     this->ApplyOrders(notice.orders);
     this->outbox.notices.push_back(
         this->MakeNotice(notice.sender, NoticeKind::kLoad));
@@ -216,16 +226,45 @@
     this->NoteBalancer(notice.sender);
     this->metrics.Count("flow_packets_relayed", "", "",
                         notice.relay_hosts.size());
+    const bool collects =
+        notice.collect_answers &&
+        this->relayed_searches.Begin(this->now, notice.sender, notice.flow,
+                                     notice.relay_hosts);
+    const std::uint32_t answer_to =
+        collects ? this->settings.node.data.address : notice.sender;
     for (const std::uint32_t host : notice.relay_hosts) {
       FlowForward forward;
       forward.destination = {host, this->settings.node.data.port};
-      forward.mark = {MarkPurpose::kSearch, notice.service_tag, notice.sender};
+      forward.mark = {MarkPurpose::kSearch, notice.service_tag, answer_to};
       forward.bytes = notice.packet;
       this->outbox.to_agents.push_back(std::move(forward));
     }
   }
 }
 
+void FlowAgent::Impl::ReadRelayedAnswers(
+    const std::vector<FlowNotice>& notices) {
+  for (const FlowNotice& notice : notices) {
+    switch (notice.kind) {
+      case NoticeKind::kHeld:
+        this->relayed_searches.NoteAnswer(notice.sender, notice.flow,
+                                          LookupResult::kHeld);
+        break;
+      case NoticeKind::kNotHeld:
+      case NoticeKind::kWrongService:
+        this->relayed_searches.NoteAnswer(notice.sender, notice.flow,
+                                          LookupResult::kNotHeld);
+        break;
+      default:
+        break;
+    }
+  }
+  for (OutgoingNotice& reply : this->relayed_searches.TakeReplies(this->now)) {
+    reply.notice.service_tag = ServiceTag(this->service);
+    this->outbox.notices.push_back(std::move(reply));
+  }
+}
+
 void FlowAgent::Impl::ReadFromServer(const std::vector<FlowPacket>& packets) {
   if (!packets.empty()) {
     this->health_check.NoteReceived(this->now);
@@ -296,10 +335,11 @@
     FlowPacket packet = received;
     if (packet.mark.purpose == MarkPurpose::kSearch &&
         packet.mark.balancer != 0) {
-      // Another agent may have relayed the packet.
+      // Another agent may have relayed the packet, and may collect the answers.
       packet.sender = packet.mark.balancer;
+    } else {
+      this->NoteBalancer(packet.sender);
     }
-    this->NoteBalancer(packet.sender);
     if (packet.mark.service_tag != ServiceTag(this->service)) {
       this->metrics.Count("flow_packets_dropped", "reason", "wrong_service");
       this->Notify(packet.sender, NoticeKind::kWrongService, packet, true);
@@ -333,7 +373,10 @@
       this->Notify(packet.sender, NoticeKind::kRefused, packet, false);
       return;
     }
-    if (this->max_running > 0 && this->ExpectedRunning() >= this->max_running) {
+    if (this->max_running > 0 &&
+        !this->offers.TakeOffered(this->now, packet.sender) &&
+        this->ExpectedRunning() + this->offers.Reserved(this->now) >=
+            this->max_running) {
       this->RefuseOpening(packet, NoticeKind::kSaturated, "saturated");
       return;
     }
@@ -451,9 +494,25 @@
   load.down = this->health_check.IsDown() || this->shutdown.IsRequested();
   load.evacuated = this->zone_state.IsEvacuated();
   load.capacity = this->flows.Capacity();
+  load.lookup_needs_packet = !this->knows_all_flows;
   return load;
 }
 
+void FlowAgent::Impl::OfferCapacity() {
+  const std::uint32_t taken =
+      this->ExpectedRunning() + this->offers.Reserved(this->now);
+  if (taken >= this->max_running || this->Load().down ||
+      this->zone_state.IsEvacuated() || this->rate_limit.IsReached(this->now)) {
+    return;
+  }
+  for (const std::uint32_t balancer :
+       this->offers.Offer(this->now, this->max_running - taken)) {
+    this->metrics.Count("flow_places_offered");
+    this->outbox.notices.push_back(
+        this->MakeNotice(balancer, NoticeKind::kOffer));
+  }
+}
+
 void FlowAgent::Impl::AdvertiseLoad() {
   const ServerLoad load = this->Load();
   const bool changed = load.running != this->advertised_load.running ||
--- a/src/core/flow/balancer/agent_queries.cc
+++ b/src/core/flow/balancer/agent_queries.cc
@@ -13,6 +13,11 @@
 // datagrams are lost.
 constexpr Duration kOrderRetryInterval{100000};
 
+// Interval of the first queries to an agent, doubled after each one that it
+// leaves unanswered, up to kQueryInterval.
+constexpr Duration kMinFirstQueryInterval{50000};
+constexpr std::uint32_t kMaxQueryDoublings = 8;
+
 // A fifth of the window in which an agent counts openings (one second), so that
 // a server that may take openings again is not left idle for long.
 constexpr Duration kRateLimitPause{200000};
@@ -52,6 +57,15 @@
 
 }  // namespace
 
+Duration QueryInterval(const ServerEntry& entry) {
+  if (entry.agent_notice_received) {
+    return kQueryInterval;
+  }
+  const std::uint32_t doublings =
+      std::min(entry.unheard_queries, kMaxQueryDoublings);
+  return std::min(kMinFirstQueryInterval * (1U << doublings), kQueryInterval);
+}
+
 AgentOrders MakeAgentOrders(TimePoint now,
                             const StoreView& view,
                             const ServerEntry& entry) {
--- a/src/core/flow/balancer/agent_queries.h
+++ b/src/core/flow/balancer/agent_queries.h
@@ -20,6 +20,11 @@
 // seconds. Also the interval at which a server that warms up is told its limit.
 inline constexpr Duration kQueryInterval{1000000};
 
+// Time between two queries to the agent of `entry` without other reason. An
+// agent that has not answered yet is queried more often at first: it may be
+// starting at the same time as this process.
+Duration QueryInterval(const ServerEntry& entry);
+
 // What the agent of `entry` has to know of its server.
 AgentOrders MakeAgentOrders(TimePoint now,
                             const StoreView& view,
--- a/src/core/flow/balancer/flow_balancer.cc
+++ b/src/core/flow/balancer/flow_balancer.cc
@@ -8,6 +8,7 @@
 #include "src/core/flow/admission/admission_policy.h"
 #include "src/core/flow/admission/opening_table.h"
 #include "src/core/flow/balancer/agent_queries.h"
+#include "src/core/flow/balancer/offer_requests.h"
 #include "src/core/flow/common/response_timeout.h"
 #include "src/core/flow/forwarding/early_packets.h"
 #include "src/core/flow/forwarding/flow_cache.h"
@@ -61,10 +62,9 @@
              settings.node.flow_max_age,
              settings.node.evacuation_bound > Duration{0}),
         gossip(settings),
-        admission(MakeAdmissionPolicy(settings.priority_admission,
-                                      openings,
-                                      metrics)),
+        admission(MakeAdmissionPolicy(by_priority, openings, metrics)),
         sender(this->settings),
+        offer_requests(settings.node.data.address),
         searcher(view, gossip, sender, metrics, settings.batched_lookup) {}
 
   FlowBalancerOutbox Tick(TimePoint now, const FlowBalancerInbox& inbox);
@@ -75,11 +75,15 @@
 
  private:
   // The steps of a tick, in their order.
+  // Selects the admission policy that the routes ask for.
+  void UpdateAdmission();
   void ReadNotices(const std::vector<FlowNotice>& notices);
   void ReadEarlyPackets();
   void ReadPackets(const std::vector<FlowPacket>& packets);
   void ProcessOpeningTimeouts();
+  void RequestOffers();
   void QueryAgents();
+  void SendQuery(ServerEntry& entry, const WaitingOpenings& waiting);
   // True if the agent of `entry` is silent or works with outdated orders.
   bool IsQueryDue(ServerEntry& entry);
   // Number of requests in progress at which `entry` gets no new flows.
@@ -98,6 +102,8 @@
   void OnHeld(const FlowNotice& notice, ServerKey server);
   void OnNotHeld(const FlowNotice& notice, ServerKey server);
   void OnLookupReply(const FlowNotice& notice, ServerKey server);
+  // Answers of several agents to a packet that the sender relayed to them.
+  void OnRelayReply(const FlowNotice& reply);
 
   void OnPacket(const FlowPacket& packet, TimePoint arrived_at);
   void OnNoRoute(const FlowPacket& packet, TimePoint arrived_at);
@@ -134,10 +140,12 @@
   ViewGossip gossip;
   FlowCache cache;
   OpeningTable openings;
+  bool by_priority = false;  // the policy in `admission`
   std::unique_ptr<AdmissionPolicy> admission;
   ServiceCapacities capacities;
   ResponseTimeout response_timeout;
   FlowSender sender;
+  OfferRequests offer_requests;
   FlowSearcher searcher;
   EarlyPackets early_packets;
   bool ready = false;
@@ -155,6 +163,7 @@
   // processed before the store's answers, which may be newer.
   this->gossip.Tick(now, inbox.gossip, this->view, outbox);
   this->view.Tick(now, inbox.store_answers, outbox);
+  this->UpdateAdmission();
   // Notices come before packets, so that placement uses the newest loads.
   this->ReadNotices(inbox.notices);
   this->ReadEarlyPackets();
@@ -162,12 +171,13 @@
   this->ProcessOpeningTimeouts();
   // After the packets, since a new request has priority over waiting ones.
   this->admission->Tick(now, *this);
+  this->RequestOffers();
   this->searcher.ProcessTimeouts(now, this->response_timeout.Current());
   this->QueryAgents();
   this->UpdateReadiness(inbox.stop_requested);
   this->cache.Expire(now);
-  for (const FlowKey& flow : this->sender.LostFlows()) {
-    this->admission->NoteReset(now, flow, now - kResetRequestAge);
+  for (const LostFlow& lost : this->sender.LostFlows()) {
+    this->admission->NoteReset(now, lost.flow, lost.request_started_at);
   }
   for (const FlowEvent& event : outbox.events) {
     this->metrics.Count("flow_events", "event", NameOf(event.kind));
@@ -175,6 +185,24 @@
   return std::move(outbox);
 }
 
+void FlowBalancer::Impl::UpdateAdmission() {
+  const bool by_priority =
+      this->settings.priority_admission && this->view.Routes().HasPriorities();
+  if (by_priority == this->by_priority) {
+    return;
+  }
+  this->by_priority = by_priority;
+  this->admission =
+      MakeAdmissionPolicy(by_priority, this->openings, this->metrics);
+  for (const FlowKey& flow : this->openings.WaitingFlows()) {
+    this->admission->Enqueue(this->now, *this->openings.Find(flow));
+  }
+  FlowEvent& event = this->sender.Outbox().events.emplace_back();
+  event.kind = FlowEventKind::kAdmissionChanged;
+  event.reason = this->admission->Name();
+  event.version = this->view.Routes().Version();
+}
+
 void FlowBalancer::Impl::ReadNotices(const std::vector<FlowNotice>& notices) {
   for (const FlowNotice& notice : notices) {
     this->OnNotice(notice);
@@ -196,6 +224,10 @@
     }
     return;
   }
+  if (notice.kind == NoticeKind::kRelayReply) {
+    this->OnRelayReply(notice);
+    return;
+  }
   servers.ApplyNotice(this->now, notice, this->sender.Outbox().events);
   const ServerEntry* entry =
       servers.FindByHost(notice.sender, notice.service_tag);
@@ -326,6 +358,28 @@
   }
 }
 
+void FlowBalancer::Impl::OnRelayReply(const FlowNotice& reply) {
+  if (reply.lookups.size() != 1) {
+    return;
+  }
+  FlowNotice answer;
+  answer.flow = reply.lookups.front().flow;
+  answer.service_tag = reply.service_tag;
+  for (const std::uint32_t host : reply.relay_hosts) {
+    answer.sender = host;
+    const ServerEntry* entry =
+        this->view.Servers().FindByHost(host, reply.service_tag);
+    if (entry == nullptr) {
+      continue;
+    }
+    if (reply.lookups.front().result == LookupResult::kHeld) {
+      this->OnHeld(answer, entry->key);
+    } else {
+      this->searcher.NoteNotHeld(this->now, answer, entry->key);
+    }
+  }
+}
+
 void FlowBalancer::Impl::ReadEarlyPackets() {
   if (this->early_packets.IsEmpty() || !this->view.IsLoaded()) {
     return;
@@ -375,7 +429,7 @@
   FlowEvent& event = this->sender.Report(FlowEventKind::kNoRoute, packet.flow);
   event.version = this->view.Routes().Version();
   this->cache.Erase(packet.flow);
-  this->sender.Reset(packet.flow, packet.acknowledgement);
+  this->sender.ResetUnrouted(packet.flow, packet.acknowledgement);
 }
 
 void FlowBalancer::Impl::OnOpening(const FlowPacket& packet,
@@ -425,7 +479,7 @@
 
 TimePoint FlowBalancer::Impl::RequestStartTime(const FlowPacket& packet,
                                                TimePoint arrived_at) {
-  if (this->settings.priority_admission) {
+  if (this->by_priority) {
     const auto repeated =
         packet.retransmit_count == 0
             ? this->admission->RepeatedRequestStart(this->now, packet.flow)
@@ -597,7 +651,7 @@
   if (AreOrdersDue(this->now, this->view, entry)) {
     return true;
   }
-  if (this->now - entry.queried_at < kQueryInterval) {
+  if (this->now - entry.queried_at < QueryInterval(entry)) {
     return false;
   }
   if (!entry.agent_notice_received || entry.suspected ||
@@ -625,15 +679,31 @@
     if (++queries > kMaxQueriesPerTick) {
       return;
     }
-    entry.queried_at = this->now;
-    entry.orders_changed = false;
-    OutgoingNotice query;
-    query.host = entry.server.host;
-    query.notice.kind = NoticeKind::kQuery;
-    query.notice.max_running = this->MaxRunningOf(entry);
-    query.notice.orders = MakeAgentOrders(this->now, this->view, entry);
-    query.notice.service_tag = ServiceTag(entry.server.service);
-    this->sender.Outbox().notices.push_back(std::move(query));
+    this->SendQuery(entry, WaitingOpenings());
+  }
+}
+
+void FlowBalancer::Impl::SendQuery(ServerEntry& entry,
+                                   const WaitingOpenings& waiting) {
+  entry.queried_at = this->now;
+  entry.unheard_queries += entry.agent_notice_received ? 0 : 1;
+  entry.orders_changed = false;
+  OutgoingNotice query;
+  query.host = entry.server.host;
+  query.notice.kind = NoticeKind::kQuery;
+  query.notice.max_running = this->MaxRunningOf(entry);
+  query.notice.orders = MakeAgentOrders(this->now, this->view, entry);
+  query.notice.waiting = waiting;
+  query.notice.service_tag = ServiceTag(entry.server.service);
+  this->sender.Outbox().notices.push_back(std::move(query));
+}
+
+void FlowBalancer::Impl::RequestOffers() {
+  for (const auto& [service, waiting] : this->admission->Waiting()) {
+    for (const ServerKey key : this->offer_requests.TakeDue(
+             this->now, this->view.Servers(), service, waiting)) {
+      this->SendQuery(*this->view.Servers().Find(key), waiting);
+    }
   }
 }
 
--- a/src/core/flow/common/flow_types.cc
+++ b/src/core/flow/common/flow_types.cc
@@ -50,6 +50,7 @@
       "stopping",
       "zone_evacuated",
       "zone_returned",
+      "admission_changed",
   };
   return kNames.at(static_cast<std::size_t>(kind));
 }
--- a/src/core/flow/forwarding/flow_sender.cc
+++ b/src/core/flow/forwarding/flow_sender.cc
@@ -36,8 +36,14 @@
   this->outbox.forwards.push_back(std::move(forward));
 }
 
-void FlowSender::Reset(const FlowKey& flow, std::uint32_t sequence) {
-  this->lost_flows.push_back(flow);
+void FlowSender::ResetLost(const FlowKey& flow,
+                           std::uint32_t sequence,
+                           TimePoint request_started_at) {
+  this->lost_flows.push_back({flow, request_started_at});
+  this->SendReset(flow, sequence);
+}
+
+void FlowSender::ResetUnrouted(const FlowKey& flow, std::uint32_t sequence) {
   this->SendReset(flow, sequence);
 }
 
--- a/src/core/flow/forwarding/flow_sender.h
+++ b/src/core/flow/forwarding/flow_sender.h
@@ -14,6 +14,11 @@
 
 namespace cactuscross {
 
+struct LostFlow {
+  FlowKey flow;
+  TimePoint request_started_at;
+};
+
 class FlowSender {
  public:
   explicit FlowSender(const FlowBalancerSettings& settings)
@@ -22,8 +27,14 @@
   void BeginTick(TimePoint tick_time);
 
   void Forward(const ServerEntry& entry, MarkPurpose purpose, Bytes bytes);
-  // Resets `flow` at its client. `sequence`: the client's last acknowledgement.
-  void Reset(const FlowKey& flow, std::uint32_t sequence);
+  // Resets `flow`, which no server holds, at its client. `sequence`: the
+  // client's last acknowledgement. `request_started_at`: estimated start of the
+  // request that the client will repeat.
+  void ResetLost(const FlowKey& flow,
+                 std::uint32_t sequence,
+                 TimePoint request_started_at);
+  // Resets a flow whose route does not exist.
+  void ResetUnrouted(const FlowKey& flow, std::uint32_t sequence);
   // Resets a refused opening.
   void ResetOpening(const FlowKey& flow);
   FlowEvent& Report(FlowEventKind kind, const FlowKey& flow);
@@ -32,8 +43,8 @@
   // recently (kResetClientRetention).
   std::optional<TimePoint> LastResetAt(std::uint32_t client_address) const;
 
-  // Flows that Reset() has reset in this tick, without refused openings.
-  const std::vector<FlowKey>& LostFlows() const { return this->lost_flows; }
+  // Flows that ResetLost() has reset in this tick.
+  const std::vector<LostFlow>& LostFlows() const { return this->lost_flows; }
 
   FlowBalancerOutbox& Outbox() { return this->outbox; }
 
@@ -43,7 +54,7 @@
   const FlowBalancerSettings& settings;
   // Clients with a recent reset, and the time of the reset.
   std::unordered_map<std::uint32_t, TimePoint> reset_clients;
-  std::vector<FlowKey> lost_flows;
+  std::vector<LostFlow> lost_flows;
   TimePoint now;
   FlowBalancerOutbox outbox;
 };
--- a/src/core/flow/placement/placement.cc
+++ b/src/core/flow/placement/placement.cc
@@ -117,6 +117,9 @@
       suspected = suspected == kNoServer ? key : suspected;
       continue;
     }
+    if (HasOffer(now, entry)) {
+      return {PlacementStatus::kPlaced, key};
+    }
     if (IsSaturated(now, entry, capacity, keep_reserve) ||
         now < entry.paused_until) {
       best.status = compared == 0 ? PlacementStatus::kSaturated : best.status;
--- a/src/core/flow/search/flow_searcher.cc
+++ b/src/core/flow/search/flow_searcher.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "src/core/flow/placement/placement.h"
+#include "src/core/flow/search/request_start.h"
 
 namespace cactuscross {
 namespace {
@@ -48,6 +49,15 @@
   return relays * (bytes + kRelayNoticeBytes) / servers + kRelayHostBytes;
 }
 
+// Time between the rounds of a search. A search whose servers have all answered
+// waits for the view to become complete, which digests of the gossip may change
+// at any time. Servers that do not answer are asked at intervals that double.
+constexpr Duration kMinRoundInterval{20000};
+constexpr std::uint32_t kMaxDoublings = 4;
+
+// Weight of the last search in the average share of lost flows.
+constexpr double kLostShareWeight = 0.125;
+
 std::string_view NameOf(LookupResult result) {
   switch (result) {
     case LookupResult::kHeld:
@@ -82,9 +92,11 @@
     return;
   }
   search->candidates = this->Candidates(now, flow);
+  search->request_started_at = EstimateRequestStart(now, this->receiving_since);
   const auto denial = this->denials.find(flow);
   if (denial != this->denials.end()) {
     RemoveDenied(*search, denial->second.servers);
+    search->request_started_at = denial->second.request_started_at;
   }
   AddPacket(*search, packet);
   search->last_acknowledgement = acknowledgement;
@@ -135,6 +147,7 @@
   FlowEvent& event = this->sender.Report(FlowEventKind::kFound, search.flow);
   event.server = entry == nullptr ? std::string() : entry->server.name;
   event.count = static_cast<std::uint32_t>(search.queried);
+  this->lost_share -= kLostShareWeight * this->lost_share;
   event.age = now - search.started_at;
   const std::size_t first = search.WasSentPacket(server) ? 1 : 0;
   // Erase() needs the size of the first packet.
@@ -210,6 +223,9 @@
 }
 
 void FlowSearcher::ProcessTimeouts(TimePoint now, Duration response_timeout) {
+  if (this->receiving_since == TimePoint()) {
+    this->receiving_since = now;
+  }
   this->ProcessLookupTimeouts(now, response_timeout);
   for (const FlowKey& flow : this->searches.TimedOut(now, response_timeout)) {
     FlowSearch& search = *this->searches.Find(flow);
@@ -219,6 +235,7 @@
     search.outstanding = 0;
     this->Advance(now, search);
   }
+  this->BeginDueRounds(now);
   this->ProcessQueue(now);
   this->SendLookups(now);
   this->ExpireDenials(now);
@@ -249,7 +266,9 @@
 bool FlowSearcher::IgnoresLookups(TimePoint now,
                                   const LookupDatagram& timed_out) {
   const ServerEntry* entry = this->view.Servers().Find(timed_out.server);
+  // An agent that starts does not answer the lookups from before its start.
   const bool alive = entry != nullptr && entry->agent_notice_received &&
+                     entry->first_agent_notice_at < timed_out.sent_at &&
                      now - entry->last_agent_notice_at < kAliveTime;
   if (alive) {
     this->batcher.NoteIgnored(now, timed_out.server);
@@ -262,7 +281,7 @@
   if (!search.by_packet.empty()) {
     this->SendOrEnqueue(now, search);
   } else if (search.AllQueried()) {
-    this->Finish(now, search);
+    this->FinishRound(now, search);
   } else {
     this->QueryNextBatch(now, search);
   }
@@ -270,10 +289,11 @@
 
 void FlowSearcher::QueryNextBatch(TimePoint now, FlowSearch& search) {
   const std::size_t end =
-      search.queried + NextBatchSize(search, this->batched_lookup);
+      search.queried +
+      NextBatchSize(search, this->batched_lookup, this->LossesPrevail());
   for (; search.queried < end; ++search.queried) {
     const ServerKey server = search.candidates[search.queried];
-    if (this->batched_lookup && !this->batcher.IgnoresLookups(now, server)) {
+    if (!this->NeedsPacket(now, server)) {
       search.lookups.push_back(server);
       this->batcher.Add(server, {search.flow, search.number});
     } else {
@@ -333,7 +353,10 @@
                              gsl::span<const ServerEntry* const> servers) {
   std::vector<const ServerEntry*> relays;
   for (const ServerEntry* entry : servers) {
-    if (this->batcher.HasReplied(entry->key)) {
+    // Agents of the previous version do not relay; those that report that they
+    // need a packet are newer.
+    if (this->batcher.HasReplied(entry->key) ||
+        entry->load.lookup_needs_packet) {
       relays.push_back(entry);
     }
   }
@@ -354,6 +377,7 @@
     outgoing.notice.service_tag = ServiceTag(relay.server.service);
     outgoing.notice.flow = search.flow;
     outgoing.notice.packet = search.packets.front();
+    outgoing.notice.collect_answers = true;
     const std::size_t count = std::min(kMaxRelayHosts, servers.size() - first);
     for (const ServerEntry* entry : servers.subspan(first, count)) {
       outgoing.notice.relay_hosts.push_back(entry->server.host);
@@ -405,7 +429,8 @@
   while (!this->queue.empty()) {
     FlowSearch* search = this->searches.Find(this->queue.front());
     // Otherwise it has ended, or another one for the flow waits for lookups.
-    if (search != nullptr && search->waiting && search->lookups.empty()) {
+    if (search != nullptr && search->waiting && !search->by_packet.empty() &&
+        search->lookups.empty()) {
       if (now - search->started_at > kMaxQueueTime) {
         this->Finish(now, *search);
       } else if (this->congestion_window.MaySend(search->by_packet.size() *
@@ -419,19 +444,79 @@
   }
 }
 
-void FlowSearcher::Finish(TimePoint now, FlowSearch& search) {
-  const FlowKey flow = search.flow;
+bool FlowSearcher::NeedsPacket(TimePoint now, ServerKey server) const {
+  const ServerEntry* entry = this->view.Servers().Find(server);
+  return !this->batched_lookup || this->batcher.IgnoresLookups(now, server) ||
+         (this->LossesPrevail() && entry != nullptr &&
+          entry->load.lookup_needs_packet);
+}
+
+bool FlowSearcher::LossesPrevail() const {
+  return this->lost_share > 0.5;
+}
+
+bool FlowSearcher::IsViewComplete(TimePoint now) const {
+  return this->view.IsLoaded() && this->gossip.IsCurrent(now, this->view) &&
+         this->gossip.HasSynced(now);
+}
+
+bool FlowSearcher::IsLost(TimePoint now, const FlowSearch& search) const {
   // While the store is unreachable, a server that this balancer does not know
   // may hold the flow, unless the flow's last holder is known and denied it.
-  const bool view_is_complete = this->view.IsLoaded() &&
-                                this->gossip.IsCurrent(now, this->view) &&
-                                this->gossip.HasSynced(now);
-  const bool lost = this->NoServerHolds(now, search) &&
-                    (view_is_complete || search.holder_denied);
+  return this->NoServerHolds(now, search) &&
+         (this->IsViewComplete(now) || search.holder_denied);
+}
+
+void FlowSearcher::FinishRound(TimePoint now, FlowSearch& search) {
+  const bool may_continue =
+      this->batched_lookup && now - search.started_at < kMaxQueueTime;
+  if (!may_continue || this->IsLost(now, search)) {
+    this->Finish(now, search);
+    return;
+  }
+  Duration interval = kMinRoundInterval;
+  if (!this->NoServerHolds(now, search)) {
+    interval *= 1U << std::min(search.unanswered_rounds, kMaxDoublings);
+    ++search.unanswered_rounds;
+  }
+  search.waiting = true;
+  search.next_round_at = now + interval;
+  this->next_rounds.emplace(*search.next_round_at, search.flow);
+}
+
+void FlowSearcher::BeginDueRounds(TimePoint now) {
+  while (!this->next_rounds.empty() &&
+         this->next_rounds.begin()->first <= now) {
+    const auto [due_at, flow] = *this->next_rounds.begin();
+    this->next_rounds.erase(this->next_rounds.begin());
+    FlowSearch* search = this->searches.Find(flow);
+    // Otherwise the search has ended, and another one may have begun.
+    if (search == nullptr || search->next_round_at != due_at) {
+      continue;
+    }
+    search->next_round_at.reset();
+    search->denied.insert(search->denied.end(), search->answered.begin(),
+                          search->answered.end());
+    search->answered.clear();
+    search->candidates = this->Candidates(now, flow);
+    search->queried = 0;
+    search->packet_servers.clear();
+    RemoveDenied(*search, search->denied);
+    search->waiting = false;
+    this->Advance(now, *search);
+  }
+}
+
+void FlowSearcher::Finish(TimePoint now, FlowSearch& search) {
+  const FlowKey flow = search.flow;
+  const bool view_is_complete = this->IsViewComplete(now);
+  const bool lost = this->IsLost(now, search);
   FlowEvent& event = this->sender.Report(
       lost ? FlowEventKind::kLost : FlowEventKind::kSearchInconclusive, flow);
-  event.count = static_cast<std::uint32_t>(search.queried);
-  event.detail = std::to_string(search.answered.size()) + " answered";
+  event.count =
+      static_cast<std::uint32_t>(search.denied.size() + search.queried);
+  event.detail = std::to_string(search.denied.size() + search.answered.size()) +
+                 " answered";
   // In this order: the search was queued for too long; the view is complete;
   // the flow's last holder denied it; the view may be incomplete.
   event.reason = search.waiting         ? "no_turn"
@@ -440,11 +525,16 @@
                                         : "view_in_doubt";
   event.age = now - search.started_at;
   if (lost) {
+    this->lost_share += kLostShareWeight * (1 - this->lost_share);
     this->denials.erase(flow);
-    this->sender.Reset(flow, search.last_acknowledgement);
+    this->sender.ResetLost(flow, search.last_acknowledgement,
+                           search.request_started_at);
   } else if (this->denials.size() < kMaxDenials) {
     Denial& denial = this->denials[flow];
     denial.at = now;
+    denial.request_started_at = search.request_started_at;
+    denial.servers.insert(denial.servers.end(), search.denied.begin(),
+                          search.denied.end());
     denial.servers.insert(denial.servers.end(), search.answered.begin(),
                           search.answered.end());
   }
--- a/src/core/flow/search/flow_searcher.h
+++ b/src/core/flow/search/flow_searcher.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <unordered_map>
 #include <vector>
 
@@ -82,6 +83,7 @@
   struct Denial {
     std::vector<ServerKey> servers;
     TimePoint at;
+    TimePoint request_started_at;  // as estimated at the first search
   };
 
   // Servers that may hold `flow`, those of the services that its route names
@@ -111,9 +113,21 @@
   FlowSearch* FindSearch(const LookupTarget& target);
   // Forwards the buffered packets to `server` and ends the search.
   void EndFound(TimePoint now, FlowSearch& search, ServerKey server);
-  // Ends a search after all candidates were queried and have answered or timed
-  // out, or after it was queued for too long: resets the flow if it is lost.
+  // Ends a round of a search, in which all candidates were queried and have
+  // answered or timed out: resets the flow if it is lost, else begins another
+  // round later.
+  void FinishRound(TimePoint now, FlowSearch& search);
+  void BeginDueRounds(TimePoint now);
+  // Ends a search after its last round, or after it was queued for too long:
+  // resets the flow if it is lost.
   void Finish(TimePoint now, FlowSearch& search);
+  // True if no server holds the flow, and there is no other that may.
+  bool IsLost(TimePoint now, const FlowSearch& search) const;
+  // True if this process knows all servers that may hold a flow.
+  bool IsViewComplete(TimePoint now) const;
+  // True if the agent has to be asked by the flow's packet.
+  bool NeedsPacket(TimePoint now, ServerKey server) const;
+  bool LossesPrevail() const;
   void Erase(FlowSearch& search);
   // True if every candidate has denied the flow or is dead.
   bool NoServerHolds(TimePoint now, const FlowSearch& search) const;
@@ -132,6 +146,12 @@
   std::deque<FlowKey> queue;  // flows whose search waits to send, FIFO
   std::unordered_map<FlowKey, Denial, FlowKeyHash> denials;
   TimePoint next_expiry;
+  // Searches that wait for their next round, by its start.
+  std::multimap<TimePoint, FlowKey> next_rounds;
+  // Moving average over the ended searches: 1 for a lost flow, 0 for one that
+  // was found.
+  double lost_share = 0;
+  TimePoint receiving_since;  // first call of ProcessTimeouts()
 };
 
 }  // namespace cactuscross
--- a/src/core/flow/search/search_table.cc
+++ b/src/core/flow/search/search_table.cc
@@ -53,9 +53,11 @@
   return true;
 }
 
-std::size_t NextBatchSize(const FlowSearch& search, bool batched_lookup) {
+std::size_t NextBatchSize(const FlowSearch& search,
+                          bool batched_lookup,
+                          bool losses_prevail) {
   const std::size_t left = search.candidates.size() - search.queried;
-  if (batched_lookup && search.queried >= kSecondBatchEnd) {
+  if (batched_lookup && (losses_prevail || search.queried >= kSecondBatchEnd)) {
     return left;
   }
   return std::min(search.queried == 0 ? kFirstBatchSize : kLaterBatchSize,
--- a/src/core/flow/search/search_table.h
+++ b/src/core/flow/search/search_table.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "cactuscross/flow_types.h"
@@ -21,6 +22,8 @@
   std::vector<ServerKey> candidates;  // servers that may hold the flow
   std::size_t queried = 0;            // number of `candidates` queried so far
   std::vector<ServerKey> answered;    // queried servers that do not hold it
+  // Servers that denied it in earlier rounds of this search.
+  std::vector<ServerKey> denied;
   // Of the queried servers: those whose lookup is queued or in flight, those
   // to which the packet is to be sent next, and those to which it was sent.
   std::vector<ServerKey> lookups;
@@ -31,10 +34,15 @@
   std::vector<Bytes> packets;
   std::uint32_t last_acknowledgement = 0;  // of the client
   TimePoint started_at;
+  // Estimated start of the client's request.
+  TimePoint request_started_at;
   TimePoint sent_at;
   std::size_t last_batch_size = 0;  // servers queried by packet at `sent_at`
   std::size_t outstanding = 0;      // of those, how many have not answered
   std::size_t query_bytes = 0;      // bytes sent for each of them
+  // Start of the next round, if this one ended without a result.
+  std::optional<TimePoint> next_round_at;
+  std::uint32_t unanswered_rounds = 0;
   // For answers to lookups, or until the congestion window has capacity for the
   // packets.
   bool waiting = false;
@@ -79,8 +87,12 @@
 bool RemoveLookup(FlowSearch& search, ServerKey server);
 
 // Number of servers in the next batch. `batched_lookup`: flows are looked up by
-// key, so that a batch may include all servers.
-std::size_t NextBatchSize(const FlowSearch& search, bool batched_lookup);
+// key, so that a batch may include all servers. `losses_prevail`: most of the
+// flows that were searched for recently are lost, so that all servers have to
+// be asked anyway.
+std::size_t NextBatchSize(const FlowSearch& search,
+                          bool batched_lookup,
+                          bool losses_prevail);
 
 }  // namespace cactuscross
 
--- a/src/core/flow/view/route_set.cc
+++ b/src/core/flow/view/route_set.cc
@@ -31,6 +31,9 @@
   this->loaded = true;
   this->version = routes.version;
   this->warmup_limits = routes.warmup_limits;
+  this->has_priorities =
+      std::any_of(routes.routes.begin(), routes.routes.end(),
+                  [](const FlowRoute& route) { return route.priority != 0; });
   const auto previous = std::exchange(this->routes, {});
   for (const FlowRoute& route : routes.routes) {
     FlowRoute& added = this->routes[route.service_address];
--- a/src/core/flow/view/route_set.h
+++ b/src/core/flow/view/route_set.h
@@ -27,6 +27,8 @@
   bool IsLoaded() const { return this->loaded; }
   std::uint64_t Version() const { return this->version; }
   std::size_t Size() const { return this->routes.size(); }
+  // True if a route has another priority than the highest.
+  bool HasPriorities() const { return this->has_priorities; }
   // All routes with their former services, for a peer.
   std::vector<FlowRoute> All(TimePoint now) const;
   const std::vector<WarmupLimit>& WarmupLimits() const {
@@ -52,6 +54,7 @@
   void Replace(TimePoint now, const RouteSet& routes);
 
   bool loaded = false;
+  bool has_priorities = false;
   std::uint64_t version = 0;
   std::unordered_map<Endpoint, FlowRoute, EndpointHash> routes;
   FormerServices former;
--- a/src/core/flow/view/server_table.cc
+++ b/src/core/flow/view/server_table.cc
@@ -94,6 +94,7 @@
   entry.capacity = 0;
   entry.agent_max_running = 0;
   entry.agent_notice_received = false;
+  entry.unheard_queries = 0;
   entry.placed = 0;
   entry.unanswered = 0;
   entry.suspected = false;
@@ -292,8 +293,15 @@
     entry->capacity = notice.load.capacity;
     entry->capacity_at = now;
   }
+  if (notice.kind == NoticeKind::kOffer) {
+    entry->offered = HasOffer(now, *entry) ? entry->offered + 1 : 1;
+    entry->offered_until = now + kOfferLifetime / 2;
+  }
   entry->agent_max_running = notice.max_running;
-  entry->agent_notice_received = true;
+  if (!entry->agent_notice_received) {
+    entry->agent_notice_received = true;
+    entry->first_agent_notice_at = now;
+  }
   entry->last_agent_notice_at = now;
   entry->placed = 0;
   entry->unanswered = 0;
@@ -335,6 +343,13 @@
   }
 }
 
+bool ServerTable::ListsAllServers() const {
+  return std::all_of(this->entries.begin(), this->entries.end(),
+                     [](const Entries::value_type& item) {
+                       return item.second.listed || item.second.superseded;
+                     });
+}
+
 std::uint64_t ServerTable::ListedHash() const {
   std::uint64_t hash = 0;
   for (const auto& [key, entry] : this->entries) {
@@ -410,6 +425,10 @@
   return !entry.listed && now - entry.unlisted_at >= grace && silent;
 }
 
+bool HasOffer(TimePoint now, const ServerEntry& entry) {
+  return entry.offered > 0 && now < entry.offered_until;
+}
+
 bool IsEvacuated(const ServerEntry& entry) {
   return entry.zone_evacuated || entry.load.evacuated;
 }
--- a/src/core/flow/view/server_table.h
+++ b/src/core/flow/view/server_table.h
@@ -32,13 +32,18 @@
   double capacity = 0;
   TimePoint capacity_at;
   bool agent_notice_received = false;  // since the server's last start
+  TimePoint first_agent_notice_at;     // since the server's last start
   TimePoint last_agent_notice_at;
-  TimePoint queried_at;         // last query to its agent
+  TimePoint queried_at;               // last query to its agent
+  std::uint32_t unheard_queries = 0;  // before the first notice
   TimePoint orders_checked_at;  // last check whether its agent needs a query
   // FlowNotice::max_running of its last notice; 0: its agent knows no limit or
   // does not report it.
   std::uint32_t agent_max_running = 0;
   std::uint32_t placed = 0;  // openings sent since the last notice
+  // Places that its agent has reserved for this process, until the given time.
+  std::uint32_t offered = 0;
+  TimePoint offered_until;
   // Consecutive openings that its agent left unanswered.
   std::uint32_t unanswered = 0;
   bool suspected = false;
@@ -92,7 +97,10 @@
   void SetEvacuatedZones(TimePoint now, const std::set<std::string>& zones);
 
   // Records that an opening was sent to `entry`.
-  static void NotePlaced(ServerEntry& entry) { ++entry.placed; }
+  static void NotePlaced(ServerEntry& entry) {
+    ++entry.placed;
+    entry.offered -= entry.offered > 0 ? 1 : 0;
+  }
 
   // Records that the agent of `key` left an opening unanswered.
   void NoteUnanswered(TimePoint now,
@@ -102,6 +110,9 @@
   // Removes servers that have been unlisted for longer than `retention`.
   void Expire(TimePoint now, Duration retention);
 
+  // True if each server that may hold flows is listed.
+  bool ListsAllServers() const;
+
   // Hash of the listed servers with their starts and reports, independent of
   // their order.
   std::uint64_t ListedHash() const;
@@ -151,6 +162,9 @@
 // because those do not come back.
 bool IsDead(TimePoint now, const ServerEntry& entry);
 
+// True if its agent has reserved a place for an opening of this process.
+bool HasOffer(TimePoint now, const ServerEntry& entry);
+
 // True if the zone of the server is evacuated, as far as this process or the
 // server's agent knows.
 bool IsEvacuated(const ServerEntry& entry);
--- a/src/core/flow/view/view_gossip.cc
+++ b/src/core/flow/view/view_gossip.cc
@@ -145,6 +145,7 @@
 
 bool ViewGossip::HasSynced(TimePoint now) const {
   return !this->full_view_senders.empty() ||
+         this->without_unlisted.size() >= kInitialViews ||
          (this->loaded_at != TimePoint() &&
           now - this->loaded_at >= kInitialSyncTimeout);
 }
@@ -160,6 +161,14 @@
   view.ApplyPeerZoneOrders(this->now, digest.zone_orders, this->outbox->events);
   this->UpdatePullTarget(digest, view);
   this->NoteConfirmation(digest, view);
+  // After a restart of all balancers none has more to send than the store, and
+  // the servers that start meanwhile keep changing the views that are pulled.
+  if (digest.view_version.loaded && digest.lists_all_servers &&
+      this->without_unlisted.size() < kInitialViews &&
+      std::find(this->without_unlisted.begin(), this->without_unlisted.end(),
+                digest.sender) == this->without_unlisted.end()) {
+    this->without_unlisted.push_back(digest.sender);
+  }
 }
 
 bool ViewGossip::HasFullViewOf(const Endpoint& peer) const {
@@ -325,6 +334,7 @@
   digest.kind = GossipKind::kDigest;
   digest.view_version = view.Version();
   digest.servers_hash = view.Servers().ListedHash();
+  digest.lists_all_servers = view.Servers().ListsAllServers();
   digest.age =
       this->now - std::max(view.ConfirmedAt(), this->peer_confirmed_at);
   digest.readers = this->election.DesignatedReaders(this->now);
--- a/src/core/flow/view/view_gossip.h
+++ b/src/core/flow/view/view_gossip.h
@@ -44,8 +44,9 @@
   bool IsCurrent(TimePoint now, const StoreView& view) const;
 
   // True once a peer has sent its complete view, including servers that the
-  // store no longer lists, or none has done so in time. Until then, this
-  // process may not know the server that holds a flow.
+  // store no longer lists, or several have reported that they know no such
+  // servers, or none has done so in time. Until then, this process may not know
+  // the server that holds a flow.
   bool HasSynced(TimePoint now) const;
 
  private:
@@ -95,6 +96,9 @@
   std::vector<bool> servers_parts;
   // Peers that have sent all servers they know, at most kInitialViews.
   std::vector<Endpoint> full_view_senders;
+  // Peers that know no servers but those that the store lists, at most
+  // kInitialViews.
+  std::vector<Endpoint> without_unlisted;
   TimePoint loaded_at;  // of the first view; the epoch: none yet
   TimePoint now;
   FlowBalancerOutbox* outbox = nullptr;  // of this tick
--- a/src/wire/flow_codec.cc
+++ b/src/wire/flow_codec.cc
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr auto kFirstNoticeKind = static_cast<std::uint32_t>(NoticeKind::kLoad);
-constexpr auto kLastNoticeKind = static_cast<std::uint32_t>(NoticeKind::kRelay);
+constexpr auto kLastNoticeKind = static_cast<std::uint32_t>(NoticeKind::kOffer);
 
 bool IsPort(std::uint32_t number) {
   return number <= std::numeric_limits<std::uint16_t>::max();
@@ -249,8 +249,12 @@
   message.set_most_running(notice.max_running);
   message.set_capacity(static_cast<float>(notice.load.capacity));
   message.set_evacuated(notice.load.evacuated);
+  message.set_lookup_needs_packet(notice.load.lookup_needs_packet);
+  message.set_collect_answers(notice.collect_answers);
   if (notice.kind == NoticeKind::kQuery) {
     SetOrders(notice.orders, *message.mutable_orders());
+    message.set_waiting(notice.waiting.count);
+    message.set_waiting_rank(notice.waiting.rank);
   }
   SetLookups(notice.lookups, message);
   for (const std::uint32_t host : notice.relay_hosts) {
@@ -283,9 +287,12 @@
                         static_cast<std::uint16_t>(message.client_port())};
   notice.flow.service_address = {
       message.service_ip(), static_cast<std::uint16_t>(message.service_port())};
-  notice.load = {message.running(), message.open_flows(), message.down(),
-                 ToRate(message.capacity()), message.evacuated()};
+  notice.load = {message.running(),   message.open_flows(),
+                 message.down(),      ToRate(message.capacity()),
+                 message.evacuated(), message.lookup_needs_packet()};
+  notice.collect_answers = message.collect_answers();
   notice.orders = ToOrders(message.orders());
+  notice.waiting = {message.waiting(), message.waiting_rank()};
   notice.packet.assign(message.packet().begin(), message.packet().end());
   notice.acknowledgement = message.acknowledgement();
   notice.max_running = message.most_running();
@@ -300,6 +307,7 @@
   encoded.set_servers_revision(message.view_version.servers.revision);
   encoded.set_servers_era(message.view_version.servers.era);
   encoded.set_servers_hash(message.servers_hash);
+  encoded.set_lists_all_servers(message.lists_all_servers);
   encoded.set_age_ms(std::min(ToMilliseconds(message.age), kMaxAgeMs));
   for (const Endpoint& peer : message.peers) {
     SetAddress(peer, *encoded.add_peers());
@@ -345,6 +353,7 @@
                           encoded.routes_version(),
                           {encoded.servers_era(), encoded.servers_revision()}};
   message.servers_hash = encoded.servers_hash();
+  message.lists_all_servers = encoded.lists_all_servers();
   message.age =
       std::chrono::milliseconds(std::min(encoded.age_ms(), kMaxAgeMs));
   for (const wire::FlowAddress& peer : encoded.peers()) {
--- a/tests/flow/test_flow_balancer_admission.cc
+++ b/tests/flow/test_flow_balancer_admission.cc
@@ -1,5 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 #include <string>
 #include <vector>
 
@@ -28,6 +30,7 @@
   CPPUNIT_TEST(HigherPriorityGetsTheFreePlace);
   CPPUNIT_TEST(WaitAndRefusalAreReported);
   CPPUNIT_TEST(OpeningThatMayBeOpenElsewhereIsNotReset);
+  CPPUNIT_TEST(PolicyFollowsTheRoutes);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -105,6 +108,20 @@
                                          "reason=\"deadline\""));
   }
 
+  // Guards against a policy that no deployment has in force: it follows from
+  // the priorities of the routes, and the setting only disables it.
+  void PolicyFollowsTheRoutes() {
+    const LoadedBalancer balancer(true, kServers);
+    const FlowEvent& changed = Last(balancer, FlowEventKind::kAdmissionChanged);
+    CPPUNIT_ASSERT_EQUAL(std::string("priority"), std::string(changed.reason));
+    const LoadedBalancer disabled(false, kServers);
+    CPPUNIT_ASSERT(std::none_of(disabled.events.begin(), disabled.events.end(),
+                                [](const FlowEvent& event) {
+                                  return event.kind ==
+                                         FlowEventKind::kAdmissionChanged;
+                                }));
+  }
+
   // Load: as above, and routers delivered the first transmission to another
   // balancer. Guards against the reset of an open flow.
   void OpeningThatMayBeOpenElsewhereIsNotReset() {
--- a/tests/flow/test_flow_simulation.cc
+++ b/tests/flow/test_flow_simulation.cc
@@ -256,6 +256,9 @@
   void PriorityAdmissionAfterAPowerLoss() {
     FlowSimulationConfig config = ManyBalancersConfig();
     config.priority_admission = true;
+    for (FlowRequestConfig& request : config.requests) {
+      request.priority = request.long_flows ? 2 : 1;
+    }
     FlowSimulation simulation(kSeed, config);
     CheckServed(simulation.Run(seconds(2)), 0.95, 0.95);
     simulation.PowerOffAll(seconds(1), /*new_names=*/true);
--- a/tests/support/flow_simulation.cc
+++ b/tests/support/flow_simulation.cc
@@ -44,6 +44,13 @@
                    static_cast<double>(this->request_count);
 }
 
+double FlowOutcomes::Worth() const {
+  return this->sent == 0 ? 1.0
+                         : (static_cast<double>(this->within_target) +
+                            0.3 * static_cast<double>(this->late)) /
+                               static_cast<double>(this->sent);
+}
+
 FlowSimulation::FlowSimulation(std::uint64_t seed,
                                const FlowSimulationConfig& config)
     : link(seed), impl(std::make_unique<Impl>(*this, config)) {
@@ -62,6 +69,26 @@
   return this->impl->totals;
 }
 
+FlowOutcomes FlowSimulation::OutcomesOf(std::size_t kind,
+                                        TimePoint from,
+                                        TimePoint until) const {
+  FlowOutcomes outcomes;
+  const FlowRequestConfig* config = &this->impl->config.requests[kind];
+  for (const auto& [id, request] : this->impl->requests) {
+    if (request.config != config || request.started_at < from ||
+        request.started_at >= until) {
+      continue;
+    }
+    ++outcomes.sent;
+    if (request.answered_after.has_value()) {
+      ++(*request.answered_after <= config->latency_target
+             ? outcomes.within_target
+             : outcomes.late);
+    }
+  }
+  return outcomes;
+}
+
 void FlowSimulation::StartRequests(std::size_t kind) {
   for (std::size_t user = 0; user < this->impl->config.users; ++user) {
     this->impl->StartRequest(kind, user);
@@ -122,6 +149,14 @@
   return this->impl->search_bytes;
 }
 
+std::uint64_t FlowSimulation::LostInUse() const {
+  return this->impl->lost_in_use;
+}
+
+const std::vector<Duration>& FlowSimulation::LostAges() const {
+  return this->impl->lost_ages;
+}
+
 TimePoint FlowSimulation::LastLostAt() const {
   return this->impl->last_lost_at;
 }
--- a/tests/support/flow_simulation.h
+++ b/tests/support/flow_simulation.h
@@ -45,6 +45,7 @@
   Duration latency_target{250000};
   Duration deadline{2500000};  // for all attempts together
   std::uint32_t priority = 0;
+  std::uint16_t port = 0;  // of a route of its own; 0: that of the service
 };
 
 struct FlowSimulationConfig {
@@ -88,6 +89,17 @@
   double ServedShare() const;
 };
 
+// What became of the requests that started in a span of time.
+struct FlowOutcomes {
+  std::uint64_t sent = 0;
+  std::uint64_t within_target = 0;
+  std::uint64_t late = 0;
+
+  // Share of the possible benefit, where an answer after the latency target is
+  // worth 0.3 of one in time.
+  double Worth() const;
+};
+
 // Which datagrams of lookups are lost.
 enum class LookupFault : std::uint8_t {
   kNone,
@@ -107,6 +119,11 @@
   // failed in the next.
   FlowTotals Run(Duration time);
 
+  // Outcomes of the requests of a kind that started from `from` until `until`.
+  FlowOutcomes OutcomesOf(std::size_t kind,
+                          TimePoint from,
+                          TimePoint until) const;
+
   Link& GetLink() { return this->link; }
   // Each user sends a request of this kind now.
   void StartRequests(std::size_t kind);
@@ -127,6 +144,12 @@
   void SetLookupFault(LookupFault fault);
   // Bytes of all queries of searches and of the answers to them.
   std::uint64_t SearchBytes() const;
+  // Number of flows that balancers have found lost while their clients used
+  // them. A late duplicate of a client's last packet starts a search as well,
+  // which rightly ends with the flow lost.
+  std::uint64_t LostInUse() const;
+  // For each flow that a balancer found lost, the time from its first packet.
+  const std::vector<Duration>& LostAges() const;
   // Time of the last reset of a flow that no server holds.
   TimePoint LastLostAt() const;
 
--- a/tests/support/flow_simulation_processes.cc
+++ b/tests/support/flow_simulation_processes.cc
@@ -36,6 +36,12 @@
       this->routes[service.port] = {{service.name, 1}};
     }
   }
+  for (const FlowRequestConfig& request : this->config.requests) {
+    if (request.port != 0) {
+      this->routes[request.port] = {
+          {this->config.services[request.service].name, 1}};
+    }
+  }
   if (this->config.routes_delay == Duration{0}) {
     this->PutRoutes();
   } else {
@@ -293,6 +299,20 @@
   }
 }
 
+void FlowSimulation::Impl::NotifyAgents(std::uint32_t host,
+                                        const FlowNotice& notice) {
+  for (std::size_t i = 0; i < this->servers.size(); ++i) {
+    if (this->servers[i].host == host) {
+      this->simulation.link.Send(LinkEnd{notice.sender}, LinkEnd{host},
+                                 Transport::kDatagram, [this, i, notice] {
+                                   FlowAgentInbox inbox;
+                                   inbox.notices.push_back(notice);
+                                   this->TickAgent(i, inbox);
+                                 });
+    }
+  }
+}
+
 void FlowSimulation::Impl::TickAgent(std::size_t index,
                                      const FlowAgentInbox& inbox) {
   Server& server = this->servers[index];
@@ -319,13 +339,14 @@
                   [this, reset] { this->DeliverResetToClient(reset); });
   }
   for (const OutgoingNotice& notice : outbox.notices) {
+    FlowNotice sent = notice.notice;
+    sent.sender = server.host;
+    this->NotifyAgents(notice.host, sent);
     for (std::size_t i = 0; i < this->balancers.size(); ++i) {
       if (this->balancers[i].host != notice.host ||
           this->IsLost(notice.notice)) {
         continue;
       }
-      FlowNotice sent = notice.notice;
-      sent.sender = server.host;
       this->SendOverLink(i, LinkDirection::kInbound, this->NoticeBytes(sent),
                          LinkEnd{server.host}, [this, i, sent] {
                            FlowBalancerInbox inbox;
@@ -362,6 +383,10 @@
     ++this->events.at(static_cast<std::size_t>(event.kind));
     if (event.kind == FlowEventKind::kLost) {
       this->last_lost_at = this->simulation.link.Now();
+      this->lost_ages.push_back(event.age.value_or(Duration{0}));
+      const auto found = this->flows.find(PackFlow(*event.flow));
+      this->lost_in_use +=
+          found != this->flows.end() && !found->second.dead ? 1 : 0;
     }
     if (trace) {
       std::clog << this->simulation.link.Now().time_since_epoch().count() << " "
