A duplicate request after a restart of an agent is not counted as load

The search forwarded the first packet again after the server had answered it; the agent counted this as a running request until the flow was used again. All servers seemed saturated, and openings were refused for 12 s.

Change: the flow takes the client's sequence number from the acknowledgement of the server's packet, and a search does not forward its first packet again to a server that got it in an earlier round. Ruled out: the admission's estimate of the wait, which followed the wrong load.

--- a/src/core/flow/agent/flow_agent.cc
+++ b/src/core/flow/agent/flow_agent.cc
@@ -277,6 +277,9 @@
     ServerFlow* flow = this->flows.Find(packet.flow);
     if (flow == nullptr) {
       flow = &this->flows.Add(this->now, packet.flow);
+      // The server has received the client's data up to here. Without this, a
+      // duplicate of it would count as a request that is never answered.
+      flow->client_sequence = packet.acknowledgement;
     }
     if (this->flows.NoteFromServer(this->now, *flow, packet)) {
       FlowEvent& event = this->Report(FlowEventKind::kAccepted);
--- a/src/core/flow/search/flow_searcher.cc
+++ b/src/core/flow/search/flow_searcher.cc
@@ -500,7 +500,6 @@
     search->answered.clear();
     search->candidates = this->Candidates(now, flow);
     search->queried = 0;
-    search->packet_servers.clear();
     RemoveDenied(*search, search->denied);
     search->waiting = false;
     this->Advance(now, *search);
--- a/src/core/flow/view/server_table.cc
+++ b/src/core/flow/view/server_table.cc
@@ -96,6 +96,7 @@
   entry.agent_notice_received = false;
   entry.unheard_queries = 0;
   entry.placed = 0;
+  entry.offered = 0;
   entry.unanswered = 0;
   entry.suspected = false;
 }
--- a/tests/flow/test_capacity_offers.cc
+++ b/tests/flow/test_capacity_offers.cc
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(SilentBalancerGetsNoOffers);
   CPPUNIT_TEST(OfferedPlaceIsKeptForItsBalancer);
   CPPUNIT_TEST(BalancersAskDifferentServers);
+  CPPUNIT_TEST(DuplicateAfterARestartOfTheAgentIsNoLoad);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -140,7 +141,47 @@
                     [](const auto& item) { return item.second < 12; }));
   }
 
+  // An agent that restarted beside its server learns of a flow by the server's
+  // answer. Guards against a duplicate of the client's request that counts as
+  // running until the flow is used again: with many of them all servers seemed
+  // saturated, and openings were refused for 12 s.
+  void DuplicateAfterARestartOfTheAgentIsNoLoad() {
+    FlowAgentSettings settings;
+    settings.service = kService;
+    FlowAgent agent(settings);
+    FlowAgentInbox inbox;
+    FlowPacket& answer = inbox.from_server.emplace_back();
+    answer.flow = {{kFirstBalancer, 1}, {9, 80}};
+    answer.from_server = true;
+    answer.sequence = 900;
+    answer.acknowledgement = 300;
+    answer.data_bytes = 50;
+    agent.Tick(kStart, inbox);
+    inbox = FlowAgentInbox();
+    FlowPacket& request = inbox.from_balancers.emplace_back();
+    request.flow = {{kFirstBalancer, 1}, {9, 80}};
+    request.sender = kFirstBalancer;
+    request.mark.service_tag = ServiceTag(MakeServiceId(kService));
+    request.sequence = 200;
+    request.acknowledgement = 900;
+    request.data_bytes = 100;
+    agent.Tick(kStart + milliseconds(1), inbox);
+    CPPUNIT_ASSERT_EQUAL(0.0, Running(agent));
+    request.sequence = 300;
+    agent.Tick(kStart + milliseconds(2), inbox);
+    CPPUNIT_ASSERT_EQUAL(1.0, Running(agent));
+  }
+
  private:
+  static double Running(const FlowAgent& agent) {
+    for (const MetricSample& sample : agent.Metrics()) {
+      if (sample.name == "flow_running") {
+        return sample.value;
+      }
+    }
+    return -1;
+  }
+
   static FlowAgentOutbox Open(FlowAgent& agent, std::uint32_t balancer) {
     FlowAgentInbox inbox;
     FlowPacket& packet = inbox.from_balancers.emplace_back();
--- a/tests/flow/test_return_after_power_loss.cc
+++ b/tests/flow/test_return_after_power_loss.cc
@@ -61,6 +61,7 @@
 class ReturnAfterPowerLossTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ReturnAfterPowerLossTest);
   CPPUNIT_TEST(LostFlowsAreSettledAndUrgentRequestsServed);
+  CPPUNIT_TEST(AllProcessesRestartBesideBusyServers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -95,6 +96,31 @@
             .Worth();
     CPPUNIT_ASSERT_MESSAGE(std::to_string(streams), streams >= 0.95);
   }
+
+  // Load: all balancers and agents are killed, while the servers hold the flows
+  // of all clients and run their requests. Guards against flows that are not
+  // found again, and against agents that count load that does not exist.
+  void AllProcessesRestartBesideBusyServers() {
+    const FlowSimulationConfig config = ModHostConfig();
+    FlowSimulation simulation(kSeed, config);
+    simulation.Run(seconds(3));
+    for (std::size_t i = 0; i < config.balancers; ++i) {
+      simulation.KillBalancer(i, milliseconds(1400));
+    }
+    for (std::size_t i = 0; i < simulation.ServerCount(); ++i) {
+      simulation.KillAgent(i, milliseconds(1400));
+    }
+    const FlowTotals totals = simulation.Run(milliseconds(6500));
+    CPPUNIT_ASSERT_MESSAGE(
+        totals.violations.empty() ? "" : totals.violations.front(),
+        totals.violations.empty());
+    const TimePoint until = simulation.GetLink().Now() - milliseconds(1500);
+    for (const std::size_t kind : {kStream, kCheck}) {
+      const double worth =
+          simulation.OutcomesOf(kind, until - seconds(2), until).Worth();
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(worth), worth >= 0.95);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReturnAfterPowerLossTest);
--- a/tests/support/flow_simulation_servers.cc
+++ b/tests/support/flow_simulation_servers.cc
@@ -111,6 +111,7 @@
         const auto found = server.flows.find(flow);
         if (found != server.flows.end()) {
           PacketHeader answer = header;
+          answer.acknowledgement = header.sequence + header.data_bytes;
           answer.data_bytes = 600;
           found->second.answer = answer;
           this->SendFromServer(index, answer);
