Flow simulation: start times of the first servers are positive

When they report again, after the store has come back from a copy, the negative time became a start in the far future, so that the entry of a server that had been replaced superseded all later ones of its host, and no server was left.

Ruled out: lookup and admission (the same without batched lookup); the view: it followed the entries that it got. Deployments without start times are not affected.

--- a/tests/support/flow_simulation_store.cc
+++ b/tests/support/flow_simulation_store.cc
@@ -12,6 +12,9 @@
 // again what they had written within these times.
 constexpr Duration kServersWriteAgain{2000000};
 constexpr Duration kOperatorWritesAgain{1000000};
+// Unix time at the start of the simulation. Above the time by which the first
+// servers have started before it.
+constexpr Duration kUnixTimeAtStart{1000000000};
 // New routes must be in force everywhere within this time.
 constexpr Duration kRouteChangeTime{3000000};
 
@@ -36,7 +39,7 @@
   entry.server.warmup_time =
       age < kWarmupTime ? kWarmupTime - age : Duration{0};
   entry.server.started_ms = static_cast<std::uint64_t>(
-      server.started_at.time_since_epoch().count() / 1000);
+      (kUnixTimeAtStart + server.started_at.time_since_epoch()).count() / 1000);
   entry.server.report_number = ++server.report_number;
   this->history.push_back(std::move(entry));
 }
