--- a/src/core/flow/agent/capacity_offers.h
+++ b/src/core/flow/agent/capacity_offers.h
@@ -15,7 +15,8 @@
 
 class CapacityOffers {
  public:
-  // A balancer reports its waiting openings, or that none wait any more.
+  // A balancer reports its waiting openings; a count of 0 ends the offers to
+  // it.
   void NoteWaiting(TimePoint now,
                    std::uint32_t balancer,
                    const WaitingOpenings& waiting);
--- a/src/core/flow/agent/flow_agent.cc
+++ b/src/core/flow/agent/flow_agent.cc
@@ -67,6 +67,7 @@
   void ReadFromServer(const std::vector<FlowPacket>& packets);
   void ReadFromBalancers(const std::vector<FlowPacket>& packets);
   void CheckServer(ProbeResult probe);
+  // Offers free places to balancers whose openings wait.
   void OfferCapacity();
   void AdvertiseLoad();
 
@@ -338,7 +339,9 @@
     FlowPacket packet = received;
     if (packet.mark.purpose == MarkPurpose::kSearch &&
         packet.mark.balancer != 0) {
-      // Another agent may have relayed the packet, and may collect the answers.
+      // Another agent may have relayed the packet. If it collects the answers,
+      // the mark names it, and it must not be taken for a balancer, which gets
+      // load notices.
       packet.sender = packet.mark.balancer;
     } else {
       this->NoteBalancer(packet.sender);
--- a/src/core/flow/balancer/flow_balancer.cc
+++ b/src/core/flow/balancer/flow_balancer.cc
@@ -35,10 +35,10 @@
 // readiness checks, half a second apart. It keeps forwarding meanwhile.
 constexpr Duration kShutdownGrace{2500000};
 
-// Assumed age of a request that a client repeats in a new flow after a reset. A
-// lost flow is detected by one or more retransmissions of the request, which
-// takes up to this time; the client repeats the request at once after the
-// reset.
+// Assumed age of a request that a client repeats in a new flow after a reset,
+// where admission is not by priority. A lost flow is detected by one or more
+// retransmissions of the request, which takes up to this time; the client
+// repeats the request at once after the reset.
 constexpr Duration kResetRequestAge{600000};
 
 // Time until a server answers one more request, from the capacity that its
@@ -81,8 +81,10 @@
   void ReadEarlyPackets();
   void ReadPackets(const std::vector<FlowPacket>& packets);
   void ProcessOpeningTimeouts();
+  // Asks agents for offers of free places while openings wait.
   void RequestOffers();
   void QueryAgents();
+  // `waiting`: openings for which a place at the server is wanted.
   void SendQuery(ServerEntry& entry, const WaitingOpenings& waiting);
   // True if the agent of `entry` is silent or works with outdated orders.
   bool IsQueryDue(ServerEntry& entry);
