--- a/tests/support/flow_simulation_impl.h
+++ b/tests/support/flow_simulation_impl.h
@@ -45,6 +45,7 @@
     bool leaving = false;  // as its store entry reports
     double slowdown = 1.0;  // factor of the service times
     TimePoint started_at;
+    TimePoint warm_at;
     std::uint64_t incarnation = 0;
     struct Flow {
       std::uint32_t sequence = 0;
--- a/tests/support/flow_simulation_processes.cc
+++ b/tests/support/flow_simulation_processes.cc
@@ -57,7 +57,7 @@
           kServerNetwork + static_cast<std::uint32_t>(index) + 1;
       this->StartServer(index, "s" + std::to_string(index));
       // The first servers are past their warm-up.
-      this->servers[index].started_at -= kWarmupTime;
+      this->servers[index].warm_at = this->simulation.link.Now();
       this->StartAgent(index);
     }
   }
@@ -118,6 +118,7 @@
   server.queue.clear();
   server.running = 0;
   server.started_at = this->simulation.link.Now();
+  server.warm_at = server.started_at + kWarmupTime;
   ++server.incarnation;
   this->PutEntry(index, false);
 }
--- a/tests/support/flow_simulation_servers.cc
+++ b/tests/support/flow_simulation_servers.cc
@@ -90,8 +90,7 @@
     this->totals.violations.push_back(
         "request " + std::to_string(header.request) + " ran twice");
   }
-  const bool is_warming_up =
-      this->simulation.link.Now() - server.started_at < kWarmupTime;
+  const bool is_warming_up = this->simulation.link.Now() < server.warm_at;
   const double factor =
       server.slowdown * (is_warming_up ? kWarmupSlowdown : 1.0);
   const Duration mean = request.config == nullptr
--- a/tests/support/flow_simulation_store.cc
+++ b/tests/support/flow_simulation_store.cc
@@ -12,8 +12,7 @@
 // again what they had written within these times.
 constexpr Duration kServersWriteAgain{2000000};
 constexpr Duration kOperatorWritesAgain{1000000};
-// Unix time at the start of the simulation. Above the time by which the first
-// servers have started before it.
+// Unix time at the start of the simulation; a start time of 0 means unknown.
 constexpr Duration kUnixTimeAtStart{1000000000};
 // New routes must be in force everywhere within this time.
 constexpr Duration kRouteChangeTime{3000000};
@@ -35,9 +34,8 @@
   entry.server.slots = this->config.services[server.service].slots;
   entry.server.phase =
       server.leaving ? ServerPhase::kLeaving : ServerPhase::kServing;
-  const Duration age = this->simulation.link.Now() - server.started_at;
   entry.server.warmup_time =
-      age < kWarmupTime ? kWarmupTime - age : Duration{0};
+      std::max(server.warm_at - this->simulation.link.Now(), Duration{0});
   entry.server.started_ms = static_cast<std::uint64_t>(
       (kUnixTimeAtStart + server.started_at.time_since_epoch()).count() / 1000);
   entry.server.report_number = ++server.report_number;
