Unused offers end until the next report; waiting openings survive a change of policy

Change: a balancer that left an offer unused gets none before its next report; the age of a request counts from the arrival of its packet; placed lines say "offered place", counters flow_offered_places_used and flow_search_rounds. Reasons at constants.

--- a/src/core/flow/admission/repeated_requests.cc
+++ b/src/core/flow/admission/repeated_requests.cc
@@ -5,8 +5,8 @@
 namespace cactuscross {
 namespace {
 
-// A client repeats the request of a reset flow at once, or after a random pause
-// of up to some 200 ms.
+// A client repeats the request of a reset flow at once or after a short random
+// pause. A longer time would match new requests of the client.
 constexpr Duration kRetention{250000};
 
 // As many as there are openings (kMaxOpenings): all may be refused at once.
--- a/src/core/flow/agent/capacity_offers.cc
+++ b/src/core/flow/agent/capacity_offers.cc
@@ -10,6 +10,7 @@
 // openings wait.
 constexpr Duration kReportLifetime{150000};
 
+// As many balancers as get load notices; 8 KB.
 constexpr std::size_t kMaxWaiting = 256;
 
 }  // namespace
@@ -43,6 +44,7 @@
 
 std::vector<std::uint32_t> CapacityOffers::Offer(TimePoint now,
                                                  std::uint32_t free) {
+  this->ExpireReservations(now);
   this->waiting.erase(std::remove_if(this->waiting.begin(), this->waiting.end(),
                                      [now](const Waiting& entry) {
                                        return entry.openings.count == 0 ||
@@ -72,13 +74,24 @@
 }
 
 std::uint32_t CapacityOffers::Reserved(TimePoint now) {
-  this->reservations.erase(
-      std::remove_if(this->reservations.begin(), this->reservations.end(),
-                     [now](const Reservation& reservation) {
-                       return reservation.expires_at <= now;
-                     }),
-      this->reservations.end());
+  this->ExpireReservations(now);
   return static_cast<std::uint32_t>(this->reservations.size());
 }
 
+void CapacityOffers::ExpireReservations(TimePoint now) {
+  const auto expired = std::stable_partition(
+      this->reservations.begin(), this->reservations.end(),
+      [now](const Reservation& reservation) {
+        return reservation.expires_at > now;
+      });
+  for (auto unused = expired; unused != this->reservations.end(); ++unused) {
+    for (Waiting& entry : this->waiting) {
+      if (entry.balancer == unused->balancer) {
+        entry.openings.count = 0;
+      }
+    }
+  }
+  this->reservations.erase(expired, this->reservations.end());
+}
+
 }  // namespace cactuscross
--- a/src/core/flow/agent/capacity_offers.h
+++ b/src/core/flow/agent/capacity_offers.h
@@ -26,7 +26,9 @@
   bool TakeOffered(TimePoint now, std::uint32_t balancer);
 
   // Balancers to which a place is offered now, if the server has `free` places
-  // without the reserved ones: the lowest rank first, in turn among equals.
+  // without the reserved ones: the lowest rank first, in turn among equals. A
+  // balancer that left an offer unused gets no other before its next report: it
+  // has no openings left, or is too far away to use a place in time.
   std::vector<std::uint32_t> Offer(TimePoint now, std::uint32_t free);
 
   // Number of places that are reserved for offers.
@@ -44,6 +46,8 @@
     TimePoint expires_at;
   };
 
+  void ExpireReservations(TimePoint now);
+
   std::vector<Waiting> waiting;
   std::vector<Reservation> reservations;
 };
--- a/src/core/flow/agent/relayed_searches.h
+++ b/src/core/flow/agent/relayed_searches.h
@@ -4,8 +4,7 @@
 // Answers of other agents to packets that this agent has relayed for a
 // balancer, collected into one notice. Load: all clients hold lost flows, and
 // agents that started after their servers need a packet of each. If every agent
-// answers the balancer itself, the answers saturate a balancer's link of
-// 14 Mbit/s.
+// answers the balancer itself, the answers saturate the link of a small host.
 
 #include <cstdint>
 #include <unordered_map>
--- a/src/core/flow/balancer/flow_balancer.cc
+++ b/src/core/flow/balancer/flow_balancer.cc
@@ -74,8 +74,8 @@
   std::vector<MetricSample> Metrics() const;
 
  private:
-  // The steps of a tick, in their order.
-  // Selects the admission policy that the routes ask for.
+  // The steps of a tick, in their order. The first one selects the admission
+  // policy that the routes ask for.
   void UpdateAdmission();
   void ReadNotices(const std::vector<FlowNotice>& notices);
   void ReadEarlyPackets();
@@ -112,7 +112,7 @@
   void OnOpening(const FlowPacket& packet,
                  TimePoint arrived_at,
                  const FlowRoute& route);
-  void OnNonOpening(const FlowPacket& packet);
+  void OnNonOpening(const FlowPacket& packet, TimePoint arrived_at);
 
   // Estimates the start time of the client's request for which a flow is
   // opened.
@@ -348,7 +348,7 @@
   if (route != nullptr && !notice.packet.empty() &&
       notice.acknowledgement != 0) {
     this->searcher.Begin(this->now, notice.flow, notice.packet,
-                         notice.acknowledgement, true);
+                         notice.acknowledgement, this->now, true);
   }
 }
 
@@ -410,7 +410,7 @@
   } else if (packet.opening) {
     this->OnOpening(packet, arrived_at, *route);
   } else {
-    this->OnNonOpening(packet);
+    this->OnNonOpening(packet, arrived_at);
   }
 }
 
@@ -550,6 +550,10 @@
   if (entry.agent_notice_received) {
     event.age = this->now - entry.last_agent_notice_at;
   }
+  if (HasOffer(this->now, entry)) {
+    event.detail = "offered place";
+    this->metrics.Count("flow_offered_places_used");
+  }
   ServerTable::NotePlaced(entry);
   opening.attempted_servers.push_back(key);
   opening.sent_at = this->now;
@@ -587,7 +591,8 @@
   this->openings.Erase(flow);
 }
 
-void FlowBalancer::Impl::OnNonOpening(const FlowPacket& packet) {
+void FlowBalancer::Impl::OnNonOpening(const FlowPacket& packet,
+                                      TimePoint arrived_at) {
   if (this->searcher.BufferPacket(packet)) {
     return;
   }
@@ -608,7 +613,7 @@
     return;
   }
   this->searcher.Begin(this->now, packet.flow, packet.bytes,
-                       packet.acknowledgement, false);
+                       packet.acknowledgement, arrived_at, false);
 }
 
 void FlowBalancer::Impl::ProcessOpeningTimeouts() {
--- a/src/core/flow/balancer/offer_requests.cc
+++ b/src/core/flow/balancer/offer_requests.cc
@@ -9,8 +9,9 @@
 namespace cactuscross {
 namespace {
 
-// With 15 balancers and 35 servers, three balancers ask each server, so that
-// hardly any server is asked by none.
+// Bounds the messages of a balancer in a large fleet. Each server is asked by
+// this many times the balancers for each server. One that no balancer asks gets
+// openings by its load notices.
 constexpr std::size_t kMaxServers = 8;
 
 // Minimum time between two requests because of a more urgent opening.
--- a/src/core/flow/search/flow_searcher.cc
+++ b/src/core/flow/search/flow_searcher.cc
@@ -85,6 +85,7 @@
                          const FlowKey& flow,
                          ByteView packet,
                          std::uint32_t acknowledgement,
+                         TimePoint arrived_at,
                          bool holder_denied) {
   FlowSearch* search = this->searches.Add(flow);
   if (search == nullptr) {
@@ -92,7 +93,8 @@
     return;
   }
   search->candidates = this->Candidates(now, flow);
-  search->request_started_at = EstimateRequestStart(now, this->receiving_since);
+  search->request_started_at =
+      EstimateRequestStart(arrived_at, this->receiving_since);
   const auto denial = this->denials.find(flow);
   if (denial != this->denials.end()) {
     RemoveDenied(*search, denial->second.servers);
@@ -496,6 +498,7 @@
       continue;
     }
     search->next_round_at.reset();
+    this->metrics.Count("flow_search_rounds");
     search->denied.insert(search->denied.end(), search->answered.begin(),
                           search->answered.end());
     search->answered.clear();
--- a/src/core/flow/search/flow_searcher.h
+++ b/src/core/flow/search/flow_searcher.h
@@ -42,12 +42,14 @@
   bool BufferPacket(const FlowPacket& packet);
 
   // Begins a search among the servers of the services that may hold the flow.
+  // `arrived_at`: arrival of the packet, which may have been buffered.
   // `holder_denied`: the server that held the flow reported that it no longer
   // holds it.
   void Begin(TimePoint now,
              const FlowKey& flow,
              ByteView packet,
              std::uint32_t acknowledgement,
+             TimePoint arrived_at,
              bool holder_denied);
 
   // `server` holds the flow of the notice: forwards the buffered packets to it
--- a/src/core/flow/search/request_start.cc
+++ b/src/core/flow/search/request_start.cc
@@ -5,22 +5,20 @@
 namespace cactuscross {
 namespace {
 
-// Times after its start at which a client sends a request again: after 200 ms,
-// and then at intervals that double. Later ones are beyond the usual time
-// limits.
-constexpr std::array<Duration, 4> kTransmitTimes = {
-    Duration{0}, Duration{200000}, Duration{600000}, Duration{1400000}};
+// Times after the start of a request at which its client sends it. Later
+// transmissions are left out: few requests have time left then.
+constexpr std::array<Duration, 3> kTransmitTimes = {
+    Duration{0}, Duration{200000}, Duration{600000}};
 
 }  // namespace
 
 TimePoint EstimateRequestStart(TimePoint arrived_at,
                                TimePoint receiving_since) {
-  // The previous transmission would have arrived here if it had been sent after
-  // `receiving_since`. Of the transmissions for which it was not, the second
-  // last is taken: the last one is rarely within the time limit.
+  // The packet can only be a retransmission if the transmission before it was
+  // sent too early to arrive here.
   const Duration receiving = arrived_at - receiving_since;
   Duration age{0};
-  for (std::size_t i = 1; i + 1 < kTransmitTimes.size(); ++i) {
+  for (std::size_t i = 1; i < kTransmitTimes.size(); ++i) {
     if (kTransmitTimes.at(i) - kTransmitTimes.at(i - 1) > receiving) {
       age = kTransmitTimes.at(i);
     }
--- a/tests/flow/test_capacity_offers.cc
+++ b/tests/flow/test_capacity_offers.cc
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(UrgentOpeningsGetTheFirstPlace);
   CPPUNIT_TEST(EqualBalancersTakeTurns);
   CPPUNIT_TEST(UnusedOfferExpires);
+  CPPUNIT_TEST(UnusedOfferEndsTheOffersUntilTheNextReport);
   CPPUNIT_TEST(SilentBalancerGetsNoOffers);
   CPPUNIT_TEST(OfferedPlaceIsKeptForItsBalancer);
   CPPUNIT_TEST(BalancersAskDifferentServers);
@@ -77,6 +78,18 @@
     CPPUNIT_ASSERT_EQUAL(0U, offers.Reserved(expired));
   }
 
+  // Guards against places that are reserved again and again for a balancer that
+  // is too far away to use them in time.
+  void UnusedOfferEndsTheOffersUntilTheNextReport() {
+    CapacityOffers offers;
+    offers.NoteWaiting(kStart, kFirstBalancer, {5, 1});
+    offers.Offer(kStart, 1);
+    const TimePoint expired = kStart + kOfferLifetime;
+    CPPUNIT_ASSERT(offers.Offer(expired, 1).empty());
+    offers.NoteWaiting(expired, kFirstBalancer, {5, 1});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, offers.Offer(expired, 1).size());
+  }
+
   void SilentBalancerGetsNoOffers() {
     CapacityOffers offers;
     offers.NoteWaiting(kStart, kFirstBalancer, {9, 1});
--- a/tests/flow/test_flow_balancer_admission.cc
+++ b/tests/flow/test_flow_balancer_admission.cc
@@ -1,7 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
-
 #include <string>
 #include <vector>
 
@@ -31,6 +30,7 @@
   CPPUNIT_TEST(WaitAndRefusalAreReported);
   CPPUNIT_TEST(OpeningThatMayBeOpenElsewhereIsNotReset);
   CPPUNIT_TEST(PolicyFollowsTheRoutes);
+  CPPUNIT_TEST(WaitingOpeningsSurviveAChangeOfThePolicy);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -122,6 +122,29 @@
                                 }));
   }
 
+  // Load: openings wait while the routes lose their priorities, or get them.
+  // Guards against openings that no policy places any more.
+  void WaitingOpeningsSurviveAChangeOfThePolicy() {
+    LoadedBalancer balancer(true, kServers);
+    bool with_priorities = true;
+    for (std::uint32_t client = 1; client <= 4; client += 2) {
+      // The store answers the next change at once.
+      balancer.Wait(milliseconds(300), 0);
+      balancer.ReportLoad(kFull);
+      const std::size_t placed = balancer.forwarded_to.size();
+      balancer.Open(kFeedAddress, client);
+      balancer.Open(kQueryAddress, client + 1);
+      with_priorities = !with_priorities;
+      balancer.PublishRoutes(with_priorities);
+      CPPUNIT_ASSERT_EQUAL(
+          std::string(with_priorities ? "priority" : "newest_first"),
+          std::string(Last(balancer, FlowEventKind::kAdmissionChanged).reason));
+      CPPUNIT_ASSERT_EQUAL(placed, balancer.forwarded_to.size());
+      balancer.ReportLoad(0);
+      CPPUNIT_ASSERT_EQUAL(placed + 2, balancer.forwarded_to.size());
+    }
+  }
+
   // Load: as above, and routers delivered the first transmission to another
   // balancer. Guards against the reset of an open flow.
   void OpeningThatMayBeOpenElsewhereIsNotReset() {
--- a/tests/support/loaded_balancer.cc
+++ b/tests/support/loaded_balancer.cc
@@ -46,7 +46,9 @@
 }  // namespace
 
 LoadedBalancer::LoadedBalancer(bool priority_admission, std::uint32_t servers)
-    : servers(servers), balancer(MakeSettings(priority_admission), kSeed) {
+    : servers(servers),
+      balancer(MakeSettings(priority_admission), kSeed),
+      revision(kRevision) {
   while (!this->ready) {
     this->Tick({});
   }
@@ -64,6 +66,25 @@
   this->Tick(inbox);
 }
 
+void LoadedBalancer::PublishRoutes(bool with_priorities) {
+  while (!this->routes_watch.has_value()) {
+    this->Tick({});
+  }
+  StoreAnswer& answer = this->answers.emplace_back();
+  answer.subject = StoreSubject::kRoutes;
+  answer.kind = StoreCallKind::kWatch;
+  answer.generation = this->routes_watch->generation;
+  this->routes_watch.reset();
+  answer.status = StoreStatus::kOk;
+  answer.era = 1;
+  answer.revision = ++this->revision;
+  RouteSet& routes = answer.routes.emplace_back();
+  routes.version = this->revision;
+  routes.routes = {MakeRoute(kQueryAddress, with_priorities ? 1 : 0),
+                   MakeRoute(kFeedAddress, with_priorities ? 2 : 0)};
+  this->Tick({});
+}
+
 void LoadedBalancer::ReportLoad(std::uint32_t running) {
   FlowBalancerInbox inbox;
   for (std::uint32_t host = 1; host <= this->servers; ++host) {
@@ -106,6 +127,9 @@
 
 void LoadedBalancer::Answer(const StoreCall& call) {
   if (call.kind != StoreCallKind::kList) {
+    if (call.subject == StoreSubject::kRoutes) {
+      this->routes_watch = call;
+    }
     return;
   }
   StoreAnswer answer;
--- a/tests/support/loaded_balancer.h
+++ b/tests/support/loaded_balancer.h
@@ -6,6 +6,7 @@
 // says.
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,9 @@
   void Open(const Endpoint& address,
             std::uint32_t client,
             std::uint32_t retransmit_count = 0);
+  // The store has a newer version of the routes, with the priorities 1 and 2 or
+  // without any.
+  void PublishRoutes(bool with_priorities);
   // All agents report this number of running requests.
   void ReportLoad(std::uint32_t running);
   static FlowNotice MakeLoad(std::uint32_t host, std::uint32_t running);
@@ -51,6 +55,8 @@
   FlowBalancer balancer;
   TimePoint now{std::chrono::seconds(100)};
   bool ready = false;
+  std::uint64_t revision;                 // of the routes
+  std::optional<StoreCall> routes_watch;  // not answered yet
   std::vector<StoreAnswer> answers;
 };
 
