Agents announce the end of their server before they exit

Cause: during a release the agent of each released host stops once its server has ended. Ruled out: to take an unlisted leaving server for dead without the announcement, because an entry also lapses while its server is cut off from the store and still holds flows.

Change: an agent that is asked to stop probes its server; if nothing listens, it tells the balancers three times (ServerLoad::ended) and exits. A balancer ignores the announcement while the store lists the server as serving, and a later notice from the host replaces it. Event server_ended at both ends.

Tests: three of the searcher and two of the agent, all failing before.

--- a/include/cactuscross/flow_event.h
+++ b/include/cactuscross/flow_event.h
@@ -46,9 +46,11 @@
   kZoneEvacuated,           // servers of a zone get no more new flows
   kZoneReturned,            // the order to evacuate a zone was withdrawn
   kAdmissionChanged,        // openings that wait are ordered by another policy
+  kServerEnded,             // an agent that stops has found that its server no
+                            // longer runs
 };
 
-inline constexpr std::size_t kFlowEventKinds = 30;
+inline constexpr std::size_t kFlowEventKinds = 31;
 
 std::string_view NameOf(FlowEventKind kind);
 
--- a/include/cactuscross/flow_message.h
+++ b/include/cactuscross/flow_message.h
@@ -64,6 +64,9 @@
   // The agent started after its server and does not know all flows that the
   // server holds: it answers kUnknown to lookups of the others.
   bool lookup_needs_packet = false;
+  // The agent is stopping and its server no longer runs, so that no flow is
+  // held on this host.
+  bool ended = false;
 };
 
 // What a balancer tells an agent about its server, as far as it knows.
--- a/src/core/flow/agent/flow_agent.cc
+++ b/src/core/flow/agent/flow_agent.cc
@@ -140,16 +140,16 @@
   this->ReadLookups(inbox.notices);
   this->ReadRelays(inbox.notices);
   this->ReadRelayedAnswers(inbox.notices);
-  this->CheckServer(inbox.probe);
-  this->flows.Expire(now);
   if (inbox.stop_requested && this->shutdown.Request(now)) {
     FlowEvent& event = this->Report(FlowEventKind::kStopping);
     event.count = this->flows.Open();
   }
-  this->outbox.may_exit =
-      this->shutdown.MayExit(now, this->flows.Running() == 0);
+  this->CheckServer(inbox.probe);
+  this->flows.Expire(now);
   this->OfferCapacity();
   this->AdvertiseLoad();
+  this->outbox.may_exit =
+      this->shutdown.MayExit(now, this->flows.Running() == 0);
   for (const FlowEvent& event : this->outbox.events) {
     this->metrics.Count("flow_events", "event", NameOf(event.kind));
   }
@@ -457,6 +457,7 @@
 void FlowAgent::Impl::CheckServer(ProbeResult probe) {
   const bool was_down = this->health_check.IsDown();
   this->health_check.NoteProbe(this->now, probe);
+  this->shutdown.NoteProbe(this->now, probe);
   if (probe == ProbeResult::kRefused) {
     this->rate_limit.NoteServerStart(this->now);
     this->knows_all_flows = this->knows_all_flows || !this->flows.HasEvicted();
@@ -469,6 +470,9 @@
                                                      : "probe_accepted";
     event.age = this->health_check.UnansweredFor(this->now);
   }
+  if (this->shutdown.ServerHasEnded() && !this->advertised_load.ended) {
+    this->Report(FlowEventKind::kServerEnded).reason = "probe_refused";
+  }
   if (this->health_check.TakeFlowsLost()) {
     for (const FlowReset& reset : this->flows.ResetsOfOpenFlows()) {
       FlowEvent& event = this->Report(FlowEventKind::kLost);
@@ -478,7 +482,13 @@
     }
     this->flows.Clear();
   }
+  if (this->shutdown.WantsProbe()) {
+    this->health_check.RequestProbe();
+  }
   this->outbox.probe = this->health_check.StartProbeIfDue(this->now);
+  if (this->outbox.probe) {
+    this->shutdown.NoteProbeStarted();
+  }
   for (auto entry = this->returned_flows.begin();
        entry != this->returned_flows.end();) {
     entry = this->now - entry->second > kReturnedFlowLifetime
@@ -501,6 +511,7 @@
   load.evacuated = this->zone_state.IsEvacuated();
   load.capacity = this->flows.Capacity();
   load.lookup_needs_packet = !this->knows_all_flows;
+  load.ended = this->shutdown.ServerHasEnded();
   return load;
 }
 
@@ -523,7 +534,8 @@
   const ServerLoad load = this->Load();
   const bool changed = load.running != this->advertised_load.running ||
                        load.open_flows != this->advertised_load.open_flows;
-  const bool urgent = load.down != this->advertised_load.down ||
+  const bool urgent = this->shutdown.TakeAnnouncement(this->now) ||
+                      load.down != this->advertised_load.down ||
                       load.evacuated != this->advertised_load.evacuated;
   const Duration since = this->now - this->advertised_at;
   const Duration min_interval =
--- a/src/core/flow/agent/server_health_check.cc
+++ b/src/core/flow/agent/server_health_check.cc
@@ -66,12 +66,13 @@
   // The first probe, at startup, shows whether the server was running before
   // the agent.
   const bool due =
-      !this->ever_probed ||
+      !this->ever_probed || this->requested ||
       ((suspected || this->down) && now - this->probed_at >= kProbeInterval);
   if (this->probing || !due) {
     return false;
   }
   this->probing = true;
+  this->requested = false;
   this->ever_probed = true;
   this->probed_at = now;
   return true;
--- a/src/core/flow/agent/server_health_check.h
+++ b/src/core/flow/agent/server_health_check.h
@@ -17,6 +17,8 @@
   void NoteReceived(TimePoint now);
   void NoteProbe(TimePoint now, ProbeResult result);
 
+  // Makes a connection attempt due.
+  void RequestProbe() { this->requested = true; }
   // Returns true if a connection attempt is due, and records its start.
   bool StartProbeIfDue(TimePoint now);
 
@@ -32,6 +34,7 @@
   TimePoint awaiting_since;
   bool probing = false;
   bool ever_probed = false;
+  bool requested = false;
   TimePoint probed_at;
   bool down = false;
   bool lost_reported = false;  // the current outage has been reported
--- a/src/core/flow/common/flow_types.cc
+++ b/src/core/flow/common/flow_types.cc
@@ -51,6 +51,7 @@
       "zone_evacuated",
       "zone_returned",
       "admission_changed",
+      "server_ended",
   };
   return kNames.at(static_cast<std::size_t>(kind));
 }
--- a/src/core/flow/search/flow_searcher.cc
+++ b/src/core/flow/search/flow_searcher.cc
@@ -125,9 +125,13 @@
   }
   std::vector<ServerKey> candidates;
   for (const ServiceId service : services) {
-    const std::vector<ServerKey> ordered =
-        OrderServers(this->view.Servers(), service, flow);
-    candidates.insert(candidates.end(), ordered.begin(), ordered.end());
+    for (const ServerKey key :
+         OrderServers(this->view.Servers(), service, flow)) {
+      const ServerEntry* entry = this->view.Servers().Find(key);
+      if (entry != nullptr && !HasEnded(*entry)) {
+        candidates.push_back(key);
+      }
+    }
   }
   return candidates;
 }
--- a/src/core/flow/view/server_table.cc
+++ b/src/core/flow/view/server_table.cc
@@ -289,6 +289,11 @@
     events.push_back(
         ServerEvent(FlowEventKind::kServerSuspicionCleared, *entry));
   }
+  if (notice.load.ended && !entry->load.ended) {
+    FlowEvent event = ServerEvent(FlowEventKind::kServerEnded, *entry);
+    event.reason = "announced";
+    events.push_back(std::move(event));
+  }
   entry->load = notice.load;
   if (notice.load.capacity > 0) {
     entry->capacity = notice.load.capacity;
@@ -418,7 +423,16 @@
   }
 }
 
+bool HasEnded(const ServerEntry& entry) {
+  const bool leaves =
+      entry.server.phase == ServerPhase::kLeaving || !entry.listed;
+  return entry.load.ended && leaves;
+}
+
 bool IsDead(TimePoint now, const ServerEntry& entry) {
+  if (HasEnded(entry)) {
+    return true;
+  }
   const bool silent = !entry.agent_notice_received ||
                       now - entry.last_agent_notice_at >= kAgentTimeout;
   const bool leaving = entry.server.phase == ServerPhase::kLeaving;
--- a/src/core/flow/view/server_table.h
+++ b/src/core/flow/view/server_table.h
@@ -156,8 +156,14 @@
   std::unordered_map<std::uint32_t, std::vector<ServerKey>> by_host;
 };
 
-// True if the server of `entry` is considered dead: the store does not list it,
-// the grace period for expired entries is over, and its agent sends no notices.
+// True if the agent of `entry` has announced that its server no longer runs, and
+// the store does not contradict it: the server was leaving or has left. A late
+// announcement thus never applies to a server that has started since.
+bool HasEnded(const ServerEntry& entry);
+
+// True if the server of `entry` is considered dead: it has ended, or the store
+// does not list it, the grace period for expired entries is over, and its agent
+// sends no notices.
 // The grace period does not apply to entries that were marked as leaving,
 // because those do not come back.
 bool IsDead(TimePoint now, const ServerEntry& entry);
--- a/src/wire/flow_codec.cc
+++ b/src/wire/flow_codec.cc
@@ -250,6 +250,7 @@
   message.set_capacity(static_cast<float>(notice.load.capacity));
   message.set_evacuated(notice.load.evacuated);
   message.set_lookup_needs_packet(notice.load.lookup_needs_packet);
+  message.set_ended(notice.load.ended);
   message.set_collect_answers(notice.collect_answers);
   if (notice.kind == NoticeKind::kQuery) {
     SetOrders(notice.orders, *message.mutable_orders());
@@ -287,9 +288,13 @@
                         static_cast<std::uint16_t>(message.client_port())};
   notice.flow.service_address = {
       message.service_ip(), static_cast<std::uint16_t>(message.service_port())};
-  notice.load = {message.running(),   message.open_flows(),
-                 message.down(),      ToRate(message.capacity()),
-                 message.evacuated(), message.lookup_needs_packet()};
+  notice.load = {message.running(),
+                 message.open_flows(),
+                 message.down(),
+                 ToRate(message.capacity()),
+                 message.evacuated(),
+                 message.lookup_needs_packet(),
+                 message.ended()};
   notice.collect_answers = message.collect_answers();
   notice.orders = ToOrders(message.orders());
   notice.waiting = {message.waiting(), message.waiting_rank()};
--- a/tests/flow/test_flow_faults.cc
+++ b/tests/flow/test_flow_faults.cc
@@ -256,6 +256,8 @@
   CPPUNIT_TEST(LatePacketsOfAnEarlierFlowChangeNothing);
   CPPUNIT_TEST(ReturnedPacketOfAnEarlierFlowResetsNothing);
   CPPUNIT_TEST(StoppingAgentDeliversAnswers);
+  CPPUNIT_TEST(StoppingAgentAnnouncesTheEndOfItsServer);
+  CPPUNIT_TEST(StoppingAgentOfARunningServerAnnouncesNothing);
   CPPUNIT_TEST(StoppingAgentAcceptsNoFlows);
   CPPUNIT_TEST(StoppingAgentExitsInTime);
   CPPUNIT_TEST(RefusalByTheHolderOfAnEarlierFlowIsFinal);
@@ -340,6 +342,58 @@
     CPPUNIT_ASSERT(agent.Tick(stop).may_exit);
   }
 
+  // The host of a server that has left is released. Balancers that do not learn
+  // it wait for this agent in each search.
+  void StoppingAgentAnnouncesTheEndOfItsServer() {
+    AgentOfServer agent;
+    FlowAgentInbox inbox;
+    inbox.notices.emplace_back().kind = NoticeKind::kQuery;
+    inbox.notices[0].sender = kBalancer;
+    inbox.notices[0].service_tag = kDeskTag;
+    agent.Tick(inbox);
+    inbox = FlowAgentInbox();
+    inbox.probe = ProbeResult::kAccepted;  // of the first probe
+    agent.Tick(inbox);
+    inbox = FlowAgentInbox();
+    inbox.stop_requested = true;
+    FlowAgentOutbox outbox = agent.Tick(inbox);
+    CPPUNIT_ASSERT(outbox.probe && !outbox.may_exit);
+    inbox.probe = ProbeResult::kRefused;
+    std::size_t announcements = 0;
+    for (int i = 0; i < 20 && !outbox.may_exit; ++i) {
+      agent.now += milliseconds(5);
+      outbox = agent.Tick(inbox);
+      for (const OutgoingNotice& outgoing : outbox.notices) {
+        announcements += outgoing.notice.load.ended ? 1 : 0;
+      }
+      inbox.probe = ProbeResult::kNone;
+    }
+    CPPUNIT_ASSERT(outbox.may_exit);
+    // One that is lost is repeated.
+    CPPUNIT_ASSERT(announcements >= 2);
+  }
+
+  // Agents are stopped and started in turn beside servers that keep running and
+  // hold flows. A probe from before the stop, when the server was not up yet,
+  // must not count either.
+  void StoppingAgentOfARunningServerAnnouncesNothing() {
+    AgentOfServer agent;
+    FlowAgentInbox inbox;
+    agent.Tick(inbox);
+    inbox.stop_requested = true;
+    inbox.probe = ProbeResult::kRefused;  // of the first probe
+    FlowAgentOutbox outbox = agent.Tick(inbox);
+    for (int i = 0; i < 60 && !outbox.may_exit; ++i) {
+      agent.now += milliseconds(5);
+      inbox.probe = i == 0 ? ProbeResult::kAccepted : ProbeResult::kNone;
+      outbox = agent.Tick(inbox);
+      for (const OutgoingNotice& outgoing : outbox.notices) {
+        CPPUNIT_ASSERT(!outgoing.notice.load.ended);
+      }
+    }
+    CPPUNIT_ASSERT(outbox.may_exit);
+  }
+
   // Another server takes the flow at once, instead of after a timeout.
   void StoppingAgentAcceptsNoFlows() {
     AgentOfServer agent;
--- a/tests/flow/test_flow_searcher.cc
+++ b/tests/flow/test_flow_searcher.cc
@@ -39,8 +39,14 @@
 class BalancerBed {
  public:
   // `reused`: a server of another service has replaced the third one.
-  explicit BalancerBed(bool reused = false, std::uint32_t servers = kServers)
-      : reused(reused), servers(servers), balancer(Settings(), kSeed) {
+  // `leaving`: host of the server that is leaving; 0: none.
+  explicit BalancerBed(bool reused = false,
+                       std::uint32_t servers = kServers,
+                       std::uint32_t leaving = 0)
+      : reused(reused),
+        servers(servers),
+        leaving(leaving),
+        balancer(Settings(), kSeed) {
     this->Tick({});
     this->Advance(seconds(1));
   }
@@ -122,6 +128,8 @@
       change.server.name = change.name;
       change.server.service = MakeServiceId(kService);
       change.server.host = host;
+      change.server.phase = host == this->leaving ? ServerPhase::kLeaving
+                                                  : ServerPhase::kServing;
       answer.servers.push_back(change);
     }
     if (this->reused) {
@@ -137,6 +145,7 @@
 
   const bool reused;
   const std::uint32_t servers;
+  const std::uint32_t leaving;
   FlowBalancer balancer;
   TimePoint now = kStart;
   std::vector<StoreCall> calls;
@@ -156,6 +165,9 @@
   CPPUNIT_TEST(StaleViewCausesNoReset);
   CPPUNIT_TEST(WrongServiceIsADenial);
   CPPUNIT_TEST(WrongServiceOfAnEarlierQueryDeniesNoNewServer);
+  CPPUNIT_TEST(EndedServerIsNotAwaited);
+  CPPUNIT_TEST(ServerThatStartsAgainIsAwaited);
+  CPPUNIT_TEST(EndOfAServerThatIsNotLeavingIsIgnored);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -336,7 +348,49 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, reused_bed.Advance(milliseconds(300)));
   }
 
+  // Load: a release replaces a server each second while flows are searched
+  // that were lost. Guards against searches that wait until the agent of a
+  // server that has just left counts as silent (1.5 s).
+  void EndedServerIsNotAwaited() {
+    BalancerBed release(false, kServers, kServers);
+    release.Receive(EndNotice(true), kServers);
+    const auto lookups = Lookups(release.Receive(this->MakePacket()));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kServers - 1}, lookups.size());
+    release.ReplyTo(lookups[0], LookupResult::kNotHeld);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         release.ReplyTo(lookups[1], LookupResult::kNotHeld)
+                             .resets.size());
+  }
+
+  // The host was given to another server of the service while the entry of the
+  // former one still says that it is leaving. Guards against a reset of a flow
+  // that the new server holds.
+  void ServerThatStartsAgainIsAwaited() {
+    BalancerBed release(false, kServers, kServers);
+    release.Receive(EndNotice(true), kServers);
+    release.Receive(EndNotice(false), kServers);
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t{kServers},
+        Lookups(release.Receive(this->MakePacket())).size());
+  }
+
+  // A late announcement of a former server's end must not apply to the one that
+  // the store lists as serving.
+  void EndOfAServerThatIsNotLeavingIsIgnored() {
+    this->bed.Receive(EndNotice(true), kServers);
+    const auto lookups = Lookups(this->bed.Receive(this->MakePacket()));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kServers}, lookups.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->Deny(lookups, 0, 2));
+  }
+
  private:
+  static FlowNotice EndNotice(bool ended) {
+    FlowNotice notice;
+    notice.load.down = ended;
+    notice.load.ended = ended;
+    return *DecodeFlowNotice(EncodeFlowNotice(notice), kServers);
+  }
+
   FlowPacket MakePacket() const {
     FlowPacket packet;
     packet.flow = kFlow;
