--- a/src/core/flow/agent/agent_shutdown.h
+++ b/src/core/flow/agent/agent_shutdown.h
@@ -32,7 +32,9 @@
   void NoteOpening(TimePoint now) { this->last_opening_at = now; }
 
   // True until a probe of the server was started after the request to stop.
-  bool WantsProbe() const { return this->IsRequested() && !this->probe_started; }
+  bool WantsProbe() const {
+    return this->IsRequested() && !this->probe_started;
+  }
   void NoteProbeStarted() { this->probe_started = this->IsRequested(); }
   // Result of a probe. One that was started before the request to stop does not
   // count.
--- a/src/core/flow/view/server_table.h
+++ b/src/core/flow/view/server_table.h
@@ -156,9 +156,9 @@
   std::unordered_map<std::uint32_t, std::vector<ServerKey>> by_host;
 };
 
-// True if the agent of `entry` has announced that its server no longer runs, and
-// the store does not contradict it: the server was leaving or has left. A late
-// announcement thus never applies to a server that has started since.
+// True if the agent of `entry` has announced that its server no longer runs,
+// and the store does not contradict it: the server was leaving or has left. A
+// late announcement thus never applies to a server that has started since.
 bool HasEnded(const ServerEntry& entry);
 
 // True if the server of `entry` is considered dead: it has ended, or the store
--- a/src/core/flow/view/view_gossip.cc
+++ b/src/core/flow/view/view_gossip.cc
@@ -169,7 +169,8 @@
   if (this->IsReceivingRoutes() &&
       advertised_version.routes_version <=
           this->routes.Reply().view_version.routes_version) {
-    // Another peer would begin the transfer anew. Its next digest follows.
+    // A pull from another peer would start the transfer again. What is newer
+    // there is pulled after its next digest.
     return;
   }
   if (differs) {
@@ -196,14 +197,14 @@
     return;
   }
   --this->pull_target.attempts_left;
-  GossipMessage pull = this->MakePull(view);
+  GossipMessage pull = this->BeginPull(view);
   if (this->pull_target.all_servers) {
     pull.view_version.servers = StorePosition();
   }
   this->Send(this->pull_target.peer, std::move(pull));
 }
 
-GossipMessage ViewGossip::MakePull(const StoreView& view) {
+GossipMessage ViewGossip::BeginPull(const StoreView& view) {
   this->pulled_at = this->now;
   GossipMessage pull;
   pull.kind = GossipKind::kPull;
@@ -214,8 +215,10 @@
   }
   pull.routes_known = view.Routes().Version();
   pull.max_parts = kPartsPerPull;
-  if (this->routes.IsPartial() &&
-      this->routes.Reply().sender == this->pull_target.peer) {
+  const GossipMessage& partial = this->routes.Reply();
+  if (this->routes.IsPartial() && partial.sender == this->pull_target.peer &&
+      partial.view_version.routes_version ==
+          this->pull_target.version.routes_version) {
     pull.first_part = this->routes.FirstMissing();
   }
   this->requested_parts = pull.first_part + pull.max_parts;
@@ -229,7 +232,7 @@
       this->routes.FirstMissing() < this->requested_parts) {
     return;
   }
-  GossipMessage pull = this->MakePull(view);
+  GossipMessage pull = this->BeginPull(view);
   // The servers were requested with the first parts.
   pull.view_version.loaded = true;
   pull.view_version.servers = reply.view_version.servers;
--- a/src/core/flow/view/view_gossip.h
+++ b/src/core/flow/view/view_gossip.h
@@ -71,7 +71,9 @@
   // Requests the parts of the routes that are still missing, once those that
   // were requested have arrived.
   void ContinuePull(const StoreView& view);
-  GossipMessage MakePull(const StoreView& view);
+  // Returns a pull of what is newer than `view`, and records what it requests
+  // of the routes.
+  GossipMessage BeginPull(const StoreView& view);
   // True while a peer is sending routes.
   bool IsReceivingRoutes() const;
   void AnswerPullOfRoutes(const GossipMessage& pull, const StoreView& view);
--- a/tests/flow/test_flow_searcher.cc
+++ b/tests/flow/test_flow_searcher.cc
@@ -128,8 +128,8 @@
       change.server.name = change.name;
       change.server.service = MakeServiceId(kService);
       change.server.host = host;
-      change.server.phase = host == this->leaving ? ServerPhase::kLeaving
-                                                  : ServerPhase::kServing;
+      change.server.phase =
+          host == this->leaving ? ServerPhase::kLeaving : ServerPhase::kServing;
       answer.servers.push_back(change);
     }
     if (this->reused) {
@@ -357,9 +357,9 @@
     const auto lookups = Lookups(release.Receive(this->MakePacket()));
     CPPUNIT_ASSERT_EQUAL(std::size_t{kServers - 1}, lookups.size());
     release.ReplyTo(lookups[0], LookupResult::kNotHeld);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
-                         release.ReplyTo(lookups[1], LookupResult::kNotHeld)
-                             .resets.size());
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t{1},
+        release.ReplyTo(lookups[1], LookupResult::kNotHeld).resets.size());
   }
 
   // The host was given to another server of the service while the entry of the
@@ -369,9 +369,8 @@
     BalancerBed release(false, kServers, kServers);
     release.Receive(EndNotice(true), kServers);
     release.Receive(EndNotice(false), kServers);
-    CPPUNIT_ASSERT_EQUAL(
-        std::size_t{kServers},
-        Lookups(release.Receive(this->MakePacket())).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kServers},
+                         Lookups(release.Receive(this->MakePacket())).size());
   }
 
   // A late announcement of a former server's end must not apply to the one that
