Gossip of routes: a peer serves four transfers at a time

Change: a reply that takes several pulls is sent to at most four peers at a time; the others pull from those that have it by then. Replies of one window, such as most changes, are always sent. Test: FewTransfersAreServedAtATime.

--- a/src/core/flow/view/view_gossip.cc
+++ b/src/core/flow/view/view_gossip.cc
@@ -45,6 +45,13 @@
 // ms on a link of 10 Mbit/s.
 constexpr std::uint32_t kPartsPerPull = 8;
 
+// Transfers that a process serves at a time, and the time without a pull after
+// which one has ended. Load: all of 75 balancers restart, and one has routes
+// before the others. With all transfers at once its link was full, so that none
+// ended for seconds; the peers that it serves first serve the others.
+constexpr std::size_t kMaxTransfers = 4;
+constexpr Duration kTransferTimeout{50000};
+
 bool IsNewer(const ViewVersion& view_version, const ViewVersion& than) {
   return view_version.loaded &&
          (!than.loaded || view_version.routes_version > than.routes_version ||
@@ -307,6 +314,10 @@
     }
   }
   reply.part.count = PartCount(routes.CountFor(selection), kRoutesPerPart);
+  if (pull.max_parts != 0 && reply.part.count > pull.max_parts &&
+      !this->AdmitTransfer(pull.sender)) {
+    return;
+  }
   // The parts that the peer has may be those of a longer reply.
   const std::uint32_t first =
       pull.first_part < reply.part.count ? pull.first_part : 0;
@@ -329,6 +340,27 @@
   }
 }
 
+bool ViewGossip::AdmitTransfer(const Endpoint& peer) {
+  this->transfers.erase(
+      std::remove_if(this->transfers.begin(), this->transfers.end(),
+                     [this](const Transfer& transfer) {
+                       return this->now - transfer.pulled_at > kTransferTimeout;
+                     }),
+      this->transfers.end());
+  const auto found = std::find_if(
+      this->transfers.begin(), this->transfers.end(),
+      [&peer](const Transfer& transfer) { return transfer.peer == peer; });
+  if (found != this->transfers.end()) {
+    found->pulled_at = this->now;
+    return true;
+  }
+  if (this->transfers.size() >= kMaxTransfers) {
+    return false;
+  }
+  this->transfers.push_back({peer, this->now});
+  return true;
+}
+
 void ViewGossip::OnRoutes(const GossipMessage& message, StoreView& view) {
   if (message.part.count > kMaxParts) {
     return;
--- a/src/core/flow/view/view_gossip.h
+++ b/src/core/flow/view/view_gossip.h
@@ -77,6 +77,8 @@
   // True while a peer is sending routes.
   bool IsReceivingRoutes() const;
   void AnswerPullOfRoutes(const GossipMessage& pull, const StoreView& view);
+  // True if `peer` may be sent a reply that takes several pulls.
+  bool AdmitTransfer(const Endpoint& peer);
   void UpdateReading(StoreView& view);
   // Sends the entries in several messages, each a copy of `reply` with up to
   // `entries_per_part` of them in its member `list`.
@@ -106,6 +108,12 @@
   TimePoint compared_at;  // last pull because of a different hash
   ReplyAssembly routes;
   ReplyAssembly servers;
+  // Peers that this process is sending routes to, and their last pulls.
+  struct Transfer {
+    Endpoint peer;
+    TimePoint pulled_at;
+  };
+  std::vector<Transfer> transfers;
   TimePoint routes_part_at;           // arrival of the last part of routes
   std::uint32_t requested_parts = 0;  // those of the routes before this index
   // Peers that have sent all servers they know, at most kInitialViews.
--- a/tests/flow/test_route_transfer.cc
+++ b/tests/flow/test_route_transfer.cc
@@ -84,6 +84,7 @@
   CPPUNIT_TEST(FormerServicesAreSentWithoutTheOtherRoutes);
   CPPUNIT_TEST(PullOfThePreviousVersionIsAnsweredWithAllRoutes);
   CPPUNIT_TEST(ReplyOfThePreviousVersionIsNotRequestedAgain);
+  CPPUNIT_TEST(FewTransfersAreServedAtATime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -223,6 +224,35 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, this->receiver.Version());
   }
 
+  // Load: all of 75 balancers restart, and one has routes before the others.
+  // Guards against transfers that share its link until none of them ends.
+  void FewTransfersAreServedAtATime() {
+    this->sender.Load(this->now, MakeRoutes(1, kRoutes));
+    const auto count_answered = [this](std::uint32_t first) {
+      std::size_t answered = 0;
+      for (std::uint32_t peer = first; peer < first + 74; ++peer) {
+        GossipMessage pull;
+        pull.kind = GossipKind::kPull;
+        pull.sender = {peer, 8166};
+        pull.max_parts = 8;
+        for (const OutgoingGossip& outgoing :
+             this->sender.Tick(this->now, {pull})) {
+          answered += outgoing.message.kind == GossipKind::kRoutes &&
+                              outgoing.message.part.index == 0
+                          ? 1
+                          : 0;
+        }
+      }
+      return answered;
+    };
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, count_answered(100));
+    // The same ones may go on; others follow once these have ended.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, count_answered(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, count_answered(1000));
+    this->now += milliseconds(60);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, count_answered(1000));
+  }
+
  private:
   static std::size_t CountPulls(const std::vector<OutgoingGossip>& messages) {
     return static_cast<std::size_t>(std::count_if(
