--- a/include/cactuscross/flow_view.h
+++ b/include/cactuscross/flow_view.h
@@ -113,7 +113,7 @@
 
 // What a peer knows of the routes that changed after a version.
 struct RouteChanges {
-  std::uint64_t after = 0;    // they apply to this version and later ones
+  std::uint64_t after = 0;    // they apply to this version only
   std::uint64_t version = 0;  // that they lead to; may be equal to `after`
   std::vector<FlowRoute> routes;
   std::vector<WarmupLimit> warmup_limits;  // all, not only changed ones
