Test of an agent that stops beside a running server has a balancer

Cause: no balancer had queried the agent of this test, so that it could not send an announcement in any case, and the test passed with the check removed that a probe from before the stop does not count. Now a balancer is known and the test asserts that it gets notices.

--- a/tests/flow/test_flow_faults.cc
+++ b/tests/flow/test_flow_faults.cc
@@ -379,19 +379,27 @@
   void StoppingAgentOfARunningServerAnnouncesNothing() {
     AgentOfServer agent;
     FlowAgentInbox inbox;
+    inbox.notices.emplace_back().kind = NoticeKind::kQuery;
+    inbox.notices[0].sender = kBalancer;
+    inbox.notices[0].service_tag = kDeskTag;
     agent.Tick(inbox);
+    inbox = FlowAgentInbox();
     inbox.stop_requested = true;
     inbox.probe = ProbeResult::kRefused;  // of the first probe
     FlowAgentOutbox outbox = agent.Tick(inbox);
+    std::size_t notices = 0;
     for (int i = 0; i < 60 && !outbox.may_exit; ++i) {
-      agent.now += milliseconds(5);
-      inbox.probe = i == 0 ? ProbeResult::kAccepted : ProbeResult::kNone;
-      outbox = agent.Tick(inbox);
       for (const OutgoingNotice& outgoing : outbox.notices) {
         CPPUNIT_ASSERT(!outgoing.notice.load.ended);
       }
+      notices += outbox.notices.size();
+      agent.now += milliseconds(5);
+      inbox.probe = i == 0 ? ProbeResult::kAccepted : ProbeResult::kNone;
+      outbox = agent.Tick(inbox);
     }
     CPPUNIT_ASSERT(outbox.may_exit);
+    // Otherwise the agent had no balancer to announce anything to.
+    CPPUNIT_ASSERT(notices > 0);
   }
 
   // Another server takes the flow at once, instead of after a timeout.
