--- a/tests/flow/test_flow_faults.cc
+++ b/tests/flow/test_flow_faults.cc
@@ -1,251 +1,21 @@
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <algorithm>
 #include <array>
-#include <map>
 #include <random>
 #include <string>
 #include <utility>
 #include <vector>
 
-#include "cactuscross/flow_agent.h"
-#include "cactuscross/flow_balancer.h"
-#include "platform/entry_decoder.h"
 #include "src/wire/flow_codec.h"
+#include "tests/flow/flow_cores.h"
 
-namespace cactuscross {
+namespace cactuscross::testing {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr FlowKey kFlow = {{0x64400007, 40001}, {0xC6120001, 443}};
-constexpr TimePoint kStart{seconds(100)};
 constexpr std::uint64_t kSeed = 7;
-constexpr std::uint32_t kBalancer = 77;
-constexpr std::uint32_t kHostA = 0x0A000001;
-constexpr std::uint32_t kHostB = 0x0A000002;
-const std::uint32_t kDeskTag = ServiceTag(MakeServiceId("desk"));
-
-// Initial sequence numbers of a client and a server in the first flow of a
-// client's port and in the next one.
-constexpr std::uint32_t kFirstClient = 100;
-constexpr std::uint32_t kFirstServer = 500;
-constexpr std::uint32_t kNextClient = 70000000;
-constexpr std::uint32_t kNextServer = 90000000;
-
-FlowPacket MakePacket(std::uint32_t sequence, std::uint32_t acknowledgement) {
-  static const Bytes bytes(100, 'x');
-  FlowPacket packet;
-  packet.flow = kFlow;
-  packet.sequence = sequence;
-  packet.acknowledgement = acknowledgement;
-  packet.mark.purpose = MarkPurpose::kCached;
-  packet.mark.service_tag = kDeskTag;
-  packet.mark.balancer = kBalancer;
-  packet.sender = kBalancer;
-  packet.bytes = bytes;
-  return packet;
-}
-
-FlowPacket MakeOpening(std::uint32_t sequence) {
-  FlowPacket packet = MakePacket(sequence, 0);
-  packet.opening = true;
-  return packet;
-}
-
-std::size_t CountNotices(const FlowAgentOutbox& outbox, NoticeKind kind) {
-  return static_cast<std::size_t>(
-      std::count_if(outbox.notices.begin(), outbox.notices.end(),
-                    [kind](const OutgoingNotice& outgoing) {
-                      return outgoing.notice.kind == kind;
-                    }));
-}
-
-// An agent that knows all flows of its server.
-class AgentOfServer {
- public:
-  AgentOfServer() : agent(Settings()) {}
-
-  FlowAgentOutbox Tick(const FlowAgentInbox& inbox = FlowAgentInbox()) {
-    return this->agent.Tick(this->now, inbox);
-  }
-  FlowAgentOutbox FromClient(const FlowPacket& packet) {
-    FlowAgentInbox inbox;
-    inbox.from_balancers = {packet};
-    return this->Tick(inbox);
-  }
-  FlowAgentOutbox FromServer(FlowPacket packet) {
-    packet.from_server = !packet.returned;
-    FlowAgentInbox inbox;
-    inbox.from_server = {packet};
-    return this->Tick(inbox);
-  }
-  // Opens the flow; returns what the agent does when the server accepts it.
-  FlowAgentOutbox Open(std::uint32_t client, std::uint32_t server) {
-    this->FromClient(MakeOpening(client));
-    FlowAgentOutbox accepted = this->FromServer(MakeOpening(server));
-    this->FromClient(MakePacket(client + 1, server + 1));
-    return accepted;
-  }
-  // Opens the flow, closes it, and opens it again.
-  FlowAgentOutbox OpenTwice() {
-    this->Open(kFirstClient, kFirstServer);
-    FlowPacket closing = MakePacket(kFirstClient + 1, kFirstServer + 1);
-    closing.closing = true;
-    this->FromClient(closing);
-    return this->Open(kNextClient, kNextServer);
-  }
-  // Flows that the agent resets when its server dies.
-  std::size_t OpenFlows() {
-    FlowAgentInbox inbox;
-    inbox.probe = ProbeResult::kRefused;
-    return this->Tick(inbox).resets.size();
-  }
-
-  TimePoint now = kStart;
-
- private:
-  static FlowAgentSettings Settings() {
-    FlowAgentSettings settings;
-    settings.node.first_start = true;
-    settings.node.data = {9, 1};
-    settings.service = "desk";
-    settings.server = {9, 2};
-    return settings;
-  }
-
-  FlowAgent agent;
-};
-
-std::string EncodeBase64(const std::string& text) {
-  constexpr std::string_view kDigits =
-      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-  std::string encoded;
-  std::uint32_t bits = 0;
-  unsigned count = 0;
-  for (const char byte : text) {
-    bits = (bits << 8U) | static_cast<std::uint8_t>(byte);
-    for (count += 8; count >= 6; count -= 6) {
-      encoded += kDigits[(bits >> (count - 6)) & 63U];
-    }
-  }
-  if (count > 0) {
-    encoded += kDigits[(bits << (6 - count)) & 63U];
-  }
-  encoded.append((4 - encoded.size() % 4) % 4, '=');
-  return encoded;
-}
-
-std::string MakeEntry(const std::string& address,
-                      const std::string& state,
-                      const std::string& rest) {
-  return R"({"service":"desk","address":")" + address +
-         R"(","zone":"z","version":"v1","slots":3,"coldRemainingMs":0,)"
-         R"("state":")" +
-         state + "\"," + rest + "}";
-}
-
-// A balancer that reads a store through the platform's decoder.
-class BalancerAtStore {
- public:
-  explicit BalancerAtStore(Duration max_stop_time = seconds(6))
-      : balancer(Settings(max_stop_time), kSeed) {
-    this->Put("op/config", R"({"version":1,"routes":[{"host":"198.18.0.1",)"
-                           R"("prefix":"/443/","service":"desk"}]})");
-    this->Put("servers/a",
-              MakeEntry("10.0.0.1:1", "ready", R"("seq":500,"born":1000)"));
-    this->Put("servers/b",
-              MakeEntry("10.0.0.2:1", "ready", R"("seq":9,"born":1000)"));
-  }
-
-  void Put(const std::string& key, const std::string& value) {
-    this->items[key] = {EncodeBase64(value), ++this->revision};
-  }
-
-  // Ticks once and answers the calls of the tick before.
-  FlowBalancerOutbox Tick(FlowBalancerInbox inbox = FlowBalancerInbox()) {
-    this->now += milliseconds(10);
-    for (const StoreCall& call : std::exchange(this->calls, {})) {
-      inbox.store_answers.push_back(this->Answer(call));
-    }
-    FlowBalancerOutbox outbox = this->balancer.Tick(this->now, inbox);
-    this->calls = outbox.store_calls;
-    return outbox;
-  }
-  void Run(Duration time) {
-    for (const TimePoint end = this->now + time; this->now < end;) {
-      this->Tick();
-    }
-  }
-  FlowBalancerOutbox Send(const FlowPacket& packet) {
-    FlowBalancerInbox inbox;
-    inbox.packets = {packet};
-    return this->Tick(std::move(inbox));
-  }
-  FlowBalancerOutbox Notify(NoticeKind kind,
-                            std::uint32_t host,
-                            std::uint32_t running) {
-    FlowBalancerInbox inbox;
-    FlowNotice& notice = inbox.notices.emplace_back();
-    notice.kind = kind;
-    notice.sender = host;
-    notice.service_tag = kDeskTag;
-    notice.flow = kFlow;
-    notice.load.running = running;
-    return this->Tick(std::move(inbox));
-  }
-  // Hosts that get one of the new flows of 40 clients.
-  std::vector<std::uint32_t> HostsOfNewFlows() {
-    std::vector<std::uint32_t> hosts;
-    for (int i = 0; i < 40; ++i) {
-      FlowPacket packet = MakeOpening(kFirstClient);
-      packet.flow.client.port = this->next_port++;
-      for (const FlowForward& forward : this->Send(packet).forwards) {
-        hosts.push_back(forward.destination.address);
-      }
-    }
-    std::sort(hosts.begin(), hosts.end());
-    hosts.erase(std::unique(hosts.begin(), hosts.end()), hosts.end());
-    return hosts;
-  }
-
-  TimePoint now = kStart;
-
- private:
-  static FlowBalancerSettings Settings(Duration max_stop_time) {
-    FlowBalancerSettings settings;
-    settings.node.zone = "z";
-    settings.node.data = {kBalancer, 1};
-    settings.node.max_stop_time = max_stop_time;
-    return settings;
-  }
-
-  StoreAnswer Answer(const StoreCall& call) const {
-    const bool list = call.kind == StoreCallKind::kList;
-    const std::string prefix =
-        call.subject == StoreSubject::kRoutes ? "op/config" : "servers/";
-    std::string body = list ? R"({"items":[)" : R"({"events":[)";
-    for (const auto& [key, item] : this->items) {
-      if (key.rfind(prefix, 0) == 0 &&
-          (list || item.second > call.after_revision)) {
-        body += body.back() == '[' ? "" : ",";
-        body += R"({"key":")" + key + R"(","value":")" + item.first +
-                R"(","rev":)" + std::to_string(item.second) + "}";
-      }
-    }
-    body += R"(],"at":)" + std::to_string(this->revision) + "}";
-    StoreAnswer answer = platform::DecodeAnswer(call, body);
-    answer.generation = call.generation;
-    return answer;
-  }
-
-  FlowBalancer balancer;
-  std::map<std::string, std::pair<std::string, std::uint64_t>> items;
-  std::uint64_t revision = 0;
-  std::vector<StoreCall> calls;
-  std::uint16_t next_port = 1000;
-};
 
 // Faults that other operators encountered, brought about at the cores of the
 // flow path: ports that clients use again, planned stops, entries of other
@@ -627,4 +397,4 @@
 CPPUNIT_TEST_SUITE_REGISTRATION(FlowFaultsTest);
 
 }  // namespace
-}  // namespace cactuscross
+}  // namespace cactuscross::testing
