Servers: an entry of a service that no route names displaces no server

New flows no longer reached the server.

Cause: among the entries of a host, the table of servers let the newest one count, whatever its service. The live server left the indexes by host and service, so that searches did not ask its agent and found the flow lost.

Evidence: every balancer logged server_listed for the foreign entry and at once server_unlisted with the reason host_reused for the live server; the resets had the reason view_whole with 4 of 4 servers answered, the live one not among them.

Why this works: an entry supersedes only entries whose services are routed if its own is, or unrouted if its own is not. "Routed" includes the services that a route named within the lifetime of a flow, and is decided again when it changes, so that the order of entries and routes does not matter. What the store lists is no longer overwritten.

Related paths: unlisted servers from peers, gossip of displaced entries, queries of displaced servers.

--- a/src/core/flow/balancer/flow_balancer.cc
+++ b/src/core/flow/balancer/flow_balancer.cc
@@ -680,7 +680,7 @@
   }
   std::size_t queries = 0;
   for (auto& [key, entry] : this->view.Servers().All()) {
-    if (!entry.listed || !this->IsQueryDue(entry)) {
+    if (!entry.listed || entry.superseded || !this->IsQueryDue(entry)) {
       continue;
     }
     if (++queries > kMaxQueriesPerTick) {
--- a/src/core/flow/view/former_services.cc
+++ b/src/core/flow/view/former_services.cc
@@ -74,6 +74,14 @@
   return former;
 }
 
+void FormerServices::AppendServices(std::vector<ServiceId>& services) const {
+  for (const auto& [address, list] : this->records) {
+    for (const Record& record : list) {
+      services.push_back(record.service);
+    }
+  }
+}
+
 std::vector<FormerService> FormerServices::ForPeer(
     TimePoint now,
     const Endpoint& address) const {
--- a/src/core/flow/view/former_services.h
+++ b/src/core/flow/view/former_services.h
@@ -39,6 +39,8 @@
   }
   // Former services of the route of `address`, without those that have expired.
   std::vector<FormerService> Of(TimePoint now, const Endpoint& address) const;
+  // Appends the services of all records.
+  void AppendServices(std::vector<ServiceId>& services) const;
   // Records of the route of `address` for a peer. An entry for kNoService says
   // for how long the sender has known all changes of the routes. Processes of
   // the previous version send none.
--- a/src/core/flow/view/route_set.cc
+++ b/src/core/flow/view/route_set.cc
@@ -227,6 +227,19 @@
   return services;
 }
 
+std::vector<ServiceId> ActiveRoutes::AllServices() const {
+  std::vector<ServiceId> services;
+  for (const auto& [address, active] : this->routes) {
+    for (const ServiceShare& share : active.route.services) {
+      services.push_back(share.service);
+    }
+  }
+  this->former.AppendServices(services);
+  std::sort(services.begin(), services.end());
+  services.erase(std::unique(services.begin(), services.end()), services.end());
+  return services;
+}
+
 ServiceId ChooseService(const FlowKey& flow,
                         const std::vector<ServiceShare>& shares) {
   std::uint32_t total = 0;
--- a/src/core/flow/view/route_set.h
+++ b/src/core/flow/view/route_set.h
@@ -76,6 +76,8 @@
   // it names, then its former ones. Empty if there is no route.
   std::vector<ServiceId> ServicesOfFlows(TimePoint now,
                                          const Endpoint& address) const;
+  // Services that routes name, and former ones, in ascending order.
+  std::vector<ServiceId> AllServices() const;
   // True if ServicesOfFlows() can't lack a former service.
   bool KnowsFormerServices(TimePoint now) const {
     return this->former.IsComplete(now);
--- a/src/core/flow/view/server_table.cc
+++ b/src/core/flow/view/server_table.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <unordered_set>
 #include <utility>
 
 namespace cactuscross {
@@ -158,9 +159,12 @@
                               std::vector<FlowEvent>& events) {
   const bool replaced =
       std::any_of(this->entries.begin(), this->entries.end(),
-                  [&change](const Entries::value_type& item) {
-                    return item.second.server.host == change.server.host &&
-                           !StartedLater(change.server, item.second.server);
+                  [this, &change](const Entries::value_type& item) {
+                    const FlowServer& server = item.second.server;
+                    return server.host == change.server.host &&
+                           !StartedLater(change.server, server) &&
+                           this->IsRouted(server.service) ==
+                               this->IsRouted(change.server.service);
                   });
   if (change.server.host == 0 || replaced) {
     return;
@@ -183,7 +187,7 @@
     const StorePosition& position) const {
   std::vector<ServerChange> changes;
   for (const auto& [key, entry] : this->entries) {
-    if (entry.position <= position || entry.superseded) {
+    if (entry.position <= position || (entry.superseded && !entry.listed)) {
       continue;
     }
     ServerChange change{entry.position, entry.server.name, !entry.listed,
@@ -198,24 +202,63 @@
 void ServerTable::Supersede(TimePoint now,
                             const ServerEntry& changed,
                             std::vector<FlowEvent>& events) {
-  const ServerEntry* newest = &changed;
-  for (const auto& [key, entry] : this->entries) {
+  std::vector<ServerEntry*> contenders;
+  for (auto& [key, entry] : this->entries) {
     if (entry.server.host == changed.server.host &&
-        IsLaterOnHost(entry, *newest)) {
-      newest = &entry;
+        this->IsRouted(entry) == this->IsRouted(changed)) {
+      contenders.push_back(&entry);
     }
   }
-  for (auto& [key, entry] : this->entries) {
-    if (entry.server.host != changed.server.host) {
+  const ServerEntry* newest = &changed;
+  for (const ServerEntry* entry : contenders) {
+    newest = IsLaterOnHost(*entry, *newest) ? entry : newest;
+  }
+  for (ServerEntry* entry : contenders) {
+    const bool superseded = entry != newest;
+    if (entry->superseded == superseded) {
       continue;
     }
-    entry.superseded = &entry != newest;
-    if (entry.superseded && entry.listed) {
-      this->Unlist(now, entry, entry.position, "host_reused", events);
+    entry->superseded = superseded;
+    if (entry->listed) {
+      FlowEvent event = ServerEvent(superseded ? FlowEventKind::kServerUnlisted
+                                               : FlowEventKind::kServerListed,
+                                    *entry);
+      event.reason = superseded ? "host_reused" : "routes_changed";
+      events.push_back(std::move(event));
+      entry->unlisted_at = now;
     }
   }
 }
 
+void ServerTable::SetRoutedServices(TimePoint now,
+                                    std::vector<ServiceId> services,
+                                    std::vector<FlowEvent>& events) {
+  if (services == this->routed_services) {
+    return;
+  }
+  const std::vector<ServiceId> before =
+      std::exchange(this->routed_services, std::move(services));
+  std::unordered_map<std::uint32_t, std::vector<const ServerEntry*>> by_host;
+  std::unordered_set<std::uint32_t> changed_hosts;
+  for (const auto& [key, entry] : this->entries) {
+    by_host[entry.server.host].push_back(&entry);
+    const bool was_routed =
+        std::binary_search(before.begin(), before.end(), entry.server.service);
+    if (was_routed != this->IsRouted(entry)) {
+      changed_hosts.insert(entry.server.host);
+    }
+  }
+  for (const std::uint32_t host : changed_hosts) {
+    const std::vector<const ServerEntry*>& of_host = by_host[host];
+    if (of_host.size() > 1 || of_host.front()->superseded) {
+      for (const ServerEntry* entry : of_host) {
+        this->Supersede(now, *entry, events);
+      }
+    }
+  }
+  this->RebuildIndexes();
+}
+
 void ServerTable::FinishList(TimePoint now,
                              const std::vector<ServerKey>& names,
                              const StorePosition& position,
@@ -246,6 +289,10 @@
                          std::string_view reason,
                          std::vector<FlowEvent>& events) {
   entry.listed = false;
+  if (entry.superseded) {
+    // The position of the removal would make it the newest entry of the host.
+    return;
+  }
   entry.unlisted_at = now;
   entry.position = position;
   FlowEvent event = ServerEvent(FlowEventKind::kServerUnlisted, entry);
@@ -423,6 +470,11 @@
   }
 }
 
+bool ServerTable::IsRouted(ServiceId service) const {
+  return std::binary_search(this->routed_services.begin(),
+                            this->routed_services.end(), service);
+}
+
 bool HasEnded(const ServerEntry& entry) {
   const bool leaves =
       entry.server.phase == ServerPhase::kLeaving || !entry.listed;
@@ -437,7 +489,8 @@
                       now - entry.last_agent_notice_at >= kAgentTimeout;
   const bool leaving = entry.server.phase == ServerPhase::kLeaving;
   const Duration grace = leaving ? Duration{0} : kExpiredEntryGrace;
-  return !entry.listed && now - entry.unlisted_at >= grace && silent;
+  return (!entry.listed || entry.superseded) &&
+         now - entry.unlisted_at >= grace && silent;
 }
 
 bool HasOffer(TimePoint now, const ServerEntry& entry) {
@@ -450,7 +503,7 @@
 
 bool AcceptsNewFlows(TimePoint now, const ServerEntry& entry) {
   if (entry.server.phase == ServerPhase::kLeaving || entry.load.down ||
-      IsEvacuated(entry)) {
+      entry.superseded || IsEvacuated(entry)) {
     return false;
   }
   return entry.listed || now - entry.unlisted_at < kExpiredEntryGrace;
--- a/src/core/flow/view/server_table.h
+++ b/src/core/flow/view/server_table.h
@@ -20,10 +20,10 @@
   ServerKey key = kNoServer;
   FlowServer server;
   StorePosition position;  // of the store at the entry's last change
-  bool listed = true;
+  bool listed = true;      // by the store
   // A newer entry describes the same host, so this server no longer exists.
   bool superseded = false;
-  TimePoint unlisted_at;
+  TimePoint unlisted_at;     // or superseded
   TimePoint warmup_ends_at;  // the server is slow until then
 
   ServerLoad load;
@@ -87,6 +87,13 @@
   std::vector<ServerChange> ChangesSince(TimePoint now,
                                          const StorePosition& position) const;
 
+  // Sets the services that routes name, or named within the lifetime of a flow,
+  // in ascending order. An entry of another service may come from a foreign
+  // writer: it supersedes none of theirs, nor the reverse.
+  void SetRoutedServices(TimePoint now,
+                         std::vector<ServiceId> services,
+                         std::vector<FlowEvent>& events);
+
   // Applies a notice of the agent on host `notice.sender`.
   void ApplyNotice(TimePoint now,
                    const FlowNotice& notice,
@@ -140,17 +147,23 @@
               const StorePosition& position,
               std::string_view reason,
               std::vector<FlowEvent>& events);
-  // Marks all entries of the host of `changed` but the newest as superseded:
-  // only one server runs on a host.
+  // Marks all entries of the host of `changed` but the newest as superseded,
+  // among those of routed services or the others: only one server runs on a
+  // host.
   void Supersede(TimePoint now,
                  const ServerEntry& changed,
                  std::vector<FlowEvent>& events);
+  bool IsRouted(ServiceId service) const;
+  bool IsRouted(const ServerEntry& entry) const {
+    return this->IsRouted(entry.server.service);
+  }
   void RebuildIndexes();
   // Sets whether the zone of `entry` is evacuated.
   void UpdateEvacuation(TimePoint now, ServerEntry& entry) const;
 
   Entries entries;
   std::set<std::string> evacuated_zones;
+  std::vector<ServiceId> routed_services;  // in ascending order
   // Indexes of the entries that are not superseded.
   std::unordered_map<std::uint64_t, std::vector<ServerKey>> by_service;
   std::unordered_map<std::uint32_t, std::vector<ServerKey>> by_host;
--- a/src/core/flow/view/store_view.cc
+++ b/src/core/flow/view/store_view.cc
@@ -82,6 +82,7 @@
     events.push_back(
         RoutesInForce(routes.version, source, routes.routes.size()));
   }
+  this->servers.SetRoutedServices(now, this->routes.AllServices(), events);
 }
 
 void StoreView::ApplyRouteChanges(TimePoint now,
@@ -92,6 +93,7 @@
         RoutesInForce(changes.version, "peer", this->routes.Size()));
     events.back().detail = std::to_string(changes.routes.size()) + " changed";
   }
+  this->servers.SetRoutedServices(now, this->routes.AllServices(), events);
 }
 
 void StoreView::ApplyPeerServers(TimePoint now,
--- a/tests/flow_processes/run.py
+++ b/tests/flow_processes/run.py
@@ -430,6 +430,26 @@
         expect(len(line["fields"]["stack"]) > 3, f"{name} logged no stack")
 
 
+def foreign_entry_on_a_host(site):
+    """Another program registers itself on the host of a server, under a service
+    that no route names. The flows of the server go on when they reach a balancer
+    that does not know them, and new ones go to it."""
+    flows = [site.client.open(SERVICE_ADDRESS) for _ in range(20)]
+    expect(all(flows), "a flow was not accepted")
+    site.store.put("servers/exporter", {
+        "service": "node-exporter", "address": f"{site.host('agent-0')}:9100",
+        "zone": "z0", "version": "1", "slots": 1, "state": "ready",
+        "coldRemainingMs": 0, "seq": 1, "born": int(time.time() * 1000)})
+    time.sleep(1.0)
+    site.signal("balancer-0", signal.SIGTERM)
+    site.processes["balancer-0"].wait(6)
+    site.start("balancer-0")
+    site.wait_ready("balancer-0")
+    for flow in flows:
+        expect(flow.exchange(b"go on") not in (None, "reset"), "flow broke")
+    flow_at(site, "s0")
+
+
 def zone_is_evacuated(site):
     """An order whose value is no JSON keeps new flows from the zone, also after
     its agent has restarted; open flows continue. Without a zone left, openings
@@ -470,7 +490,7 @@
              agent_stops_under_load, hostile_datagrams, server_dies,
              restart_without_store, routes_and_drain, store_is_restored,
              reused_revisions_are_noticed, settings_change, zone_is_evacuated,
-             crash_is_logged]
+             foreign_entry_on_a_host, crash_is_logged]
 
 
 def main():
