Openings: each transmission follows the route that is in force

Cause: a balancer sent an opening packet to the server that its flow cache held for the key, without a check of the route; the lookup renewed the entry. Openings that waited for a place, or that no server had accepted yet, kept the service of the route at their arrival as well.

Evidence: PortUsedAgainFollowsTheRoute, RetransmissionFollowsTheRoute, WaitingOpeningFollowsTheRoute and WaitingOpeningOfADroppedRouteIsRefused failed on the code before.

Why this works: RejectionReason() is asked before each transmission to a server that was known before, from the cache or from an earlier transmission; placement chooses among the services of the route anyway. When the routes change, openings in progress whose service is no longer named are assigned again and queued for the new service; without a route they are refused.

--- a/include/cactuscross/flow_view.h
+++ b/include/cactuscross/flow_view.h
@@ -95,6 +95,9 @@
   bool removed = false;
 };
 
+// True if new flows of `route` may go to servers of `service`.
+bool NamesService(const FlowRoute& route, ServiceId service);
+
 // Limit of the openings that a server of the service gets while it warms up.
 struct WarmupLimit {
   ServiceId service = kNoService;
--- a/src/core/flow/admission/admission_policy.h
+++ b/src/core/flow/admission/admission_policy.h
@@ -58,7 +58,8 @@
   // Records a new opening. Returns whether it may be sent to a server at once;
   // otherwise it was queued.
   virtual bool Admit(TimePoint now, Opening& opening) = 0;
-  // Queues an opening that found all servers saturated. Returns whether this
+  // Queues an opening that found all servers saturated, or that waits for
+  // another service than before. Returns whether this
   // has to be reported now; otherwise Tick() does.
   virtual bool Enqueue(TimePoint now, Opening& opening) = 0;
   // True if the opening must leave a part of the servers' capacity free.
--- a/src/core/flow/admission/opening_table.cc
+++ b/src/core/flow/admission/opening_table.cc
@@ -68,6 +68,15 @@
              : std::min(kMaxWait, time_limit / kWaitDivisor);
 }
 
+std::vector<FlowKey> OpeningTable::Flows() const {
+  std::vector<FlowKey> flows;
+  flows.reserve(this->entries.size());
+  for (const auto& [flow, opening] : this->entries) {
+    flows.push_back(flow);
+  }
+  return flows;
+}
+
 std::vector<FlowKey> OpeningTable::WaitingFlows() const {
   std::vector<const Opening*> waiting;
   for (const auto& [flow, opening] : this->entries) {
--- a/src/core/flow/admission/opening_table.h
+++ b/src/core/flow/admission/opening_table.h
@@ -93,6 +93,7 @@
 
 class OpeningTable : public FlowTable<Opening, kMaxOpenings> {
  public:
+  std::vector<FlowKey> Flows() const;
   // Flows that wait for server capacity, newest request first.
   std::vector<FlowKey> WaitingFlows() const;
   // Flows that have waited for their maximum time.
--- a/src/core/flow/admission/priority_admission.cc
+++ b/src/core/flow/admission/priority_admission.cc
@@ -77,6 +77,7 @@
 bool PriorityAdmission::Enqueue(TimePoint now, Opening& opening) {
   Service& service = this->services[opening.service];
   service.rate.Advance(now, !service.queue.IsEmpty());
+  ServiceQueue::Remove(opening);  // of the service that its route named before
   service.queue.Add(now, opening);
   // The next review includes the new opening.
   opening.wait_reported = false;
--- a/src/core/flow/admission/service_queue.h
+++ b/src/core/flow/admission/service_queue.h
@@ -34,6 +34,7 @@
 class ServiceQueue {
  public:
   void Add(TimePoint now, Opening& opening);
+  // Removes the opening from the queue that it is in, if any.
   static void Remove(Opening& opening);
   bool IsEmpty() const;
   // Reorders the openings that can no longer meet their target.
--- a/src/core/flow/balancer/flow_balancer.cc
+++ b/src/core/flow/balancer/flow_balancer.cc
@@ -14,6 +14,7 @@
 #include "src/core/flow/forwarding/flow_cache.h"
 #include "src/core/flow/forwarding/flow_sender.h"
 #include "src/core/flow/placement/agent_query.h"
+#include "src/core/flow/placement/eligibility.h"
 #include "src/core/flow/placement/evacuated_service.h"
 #include "src/core/flow/placement/route_placement.h"
 #include "src/core/flow/search/flow_searcher.h"
@@ -74,8 +75,10 @@
   std::vector<MetricSample> Metrics() const;
 
  private:
-  // The steps of a tick, in their order. The first one selects the admission
-  // policy that the routes ask for.
+  // The steps of a tick, in their order. The first one applies changed routes
+  // to the openings, the second one selects the admission policy that the
+  // routes ask for.
+  void UpdateOpenings();
   void UpdateAdmission();
   void ReadNotices(const std::vector<FlowNotice>& notices);
   void ReadEarlyPackets();
@@ -142,7 +145,8 @@
   ViewGossip gossip;
   FlowCache cache;
   OpeningTable openings;
-  bool by_priority = false;  // the policy in `admission`
+  std::uint64_t openings_version = 0;  // of the routes that `openings` follow
+  bool by_priority = false;            // the policy in `admission`
   std::unique_ptr<AdmissionPolicy> admission;
   ServiceCapacities capacities;
   ResponseTimeout response_timeout;
@@ -165,6 +169,7 @@
   // processed before the store's answers, which may be newer.
   this->gossip.Tick(now, inbox.gossip, this->view, outbox);
   this->view.Tick(now, inbox.store_answers, outbox);
+  this->UpdateOpenings();
   this->UpdateAdmission();
   // Notices come before packets, so that placement uses the newest loads.
   this->ReadNotices(inbox.notices);
@@ -187,6 +192,26 @@
   return std::move(outbox);
 }
 
+void FlowBalancer::Impl::UpdateOpenings() {
+  const ActiveRoutes& routes = this->view.Routes();
+  if (routes.Version() == this->openings_version) {
+    return;
+  }
+  this->openings_version = routes.Version();
+  for (const FlowKey& flow : this->openings.Flows()) {
+    Opening& opening = *this->openings.Find(flow);
+    const FlowRoute* route = routes.Find(flow.service_address);
+    if (route == nullptr) {
+      this->RefuseOpening(opening, "no_route");
+    } else if (!NamesService(*route, opening.service)) {
+      opening.service = ChooseService(flow, route->services);
+      if (opening.waiting) {
+        this->admission->Enqueue(this->now, opening);
+      }
+    }
+  }
+}
+
 void FlowBalancer::Impl::UpdateAdmission() {
   const bool by_priority =
       this->settings.priority_admission && this->view.Routes().HasPriorities();
@@ -444,17 +469,21 @@
         opening->waiting
             ? nullptr
             : this->view.Servers().Find(opening->attempted_servers.back());
-    if (entry != nullptr && IsEvacuated(*entry)) {
-      this->SendToNextServer(*opening, kZoneEvacuatedReason);
-    } else if (entry != nullptr) {
+    if (entry == nullptr) {
+      return;
+    }
+    const std::string_view reason = RejectionReason(route, *entry);
+    if (reason.empty()) {
       this->sender.Forward(*entry, MarkPurpose::kOpening, opening->packet);
+    } else {
+      this->SendToNextServer(*opening, reason);
     }
     return;
   }
   const ServerKey holder = this->cache.Lookup(this->now, packet.flow, false);
   const ServerEntry* entry = this->view.Servers().Find(holder);
-  if (entry != nullptr && !entry->load.down && !entry->suspected &&
-      !IsEvacuated(*entry)) {
+  if (entry != nullptr && !entry->suspected &&
+      RejectionReason(route, *entry).empty()) {
     this->sender.Forward(*entry, MarkPurpose::kOpening,
                          Bytes(packet.bytes.begin(), packet.bytes.end()));
     return;
--- a/src/core/flow/common/flow_types.cc
+++ b/src/core/flow/common/flow_types.cc
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <array>
 
 #include "cactuscross/flow_event.h"
@@ -17,6 +18,13 @@
   return ServerKey{XXH3_64bits(name.data(), name.size())};
 }
 
+bool NamesService(const FlowRoute& route, ServiceId service) {
+  return std::any_of(route.services.begin(), route.services.end(),
+                     [service](const ServiceShare& share) {
+                       return share.service == service;
+                     });
+}
+
 // Names in the order of the enumerators. Logs and metrics carry them, so a name
 // stays even where its enumerator is called differently.
 std::string_view NameOf(FlowEventKind kind) {
--- a/src/core/flow/view/former_services.cc
+++ b/src/core/flow/view/former_services.cc
@@ -4,22 +4,12 @@
 #include <iterator>
 
 namespace cactuscross {
-namespace {
-
-bool Names(const FlowRoute& route, ServiceId service) {
-  return std::any_of(route.services.begin(), route.services.end(),
-                     [service](const ServiceShare& share) {
-                       return share.service == service;
-                     });
-}
-
-}  // namespace
 
 void FormerServices::NoteReplaced(TimePoint now,
                                   const FlowRoute& previous,
                                   const FlowRoute& route) {
   for (const ServiceShare& share : previous.services) {
-    if (!Names(route, share.service)) {
+    if (!NamesService(route, share.service)) {
       Add(this->records[route.service_address], {share.service, now});
     }
   }
@@ -110,7 +100,7 @@
   Records& list = found->second;
   list.erase(std::remove_if(list.begin(), list.end(),
                             [&route](const Record& record) {
-                              return Names(route, record.service);
+                              return NamesService(route, record.service);
                             }),
              list.end());
 }
