Flows: the numbers of packets tell flows of one port apart

Cause: balancers and agents knew a flow by its addresses and ports only. The cache of a balancer that had carried the port's earlier flow sent packets of the next one to the earlier server. Its agent took them for packets of the earlier flow, and those that the server returned for late ones, which it dropped without a notice; each retransmission renewed the entry.

Evidence: the record of a misled flow shows its server until the rotation changes, then only the server of the port's earlier flow.

Why this works: initial sequence numbers are random, so that numbers within 1 MB of the last ones identify the flow. An agent denies packets of another flow and hands them back for a search; it keeps the numbers of the flow that its server held before, so that late packets of that one still go to the server. The balancer compares sequence numbers in its cache, openings, searches and recorded denials.

--- a/src/core/flow/admission/opening_table.h
+++ b/src/core/flow/admission/opening_table.h
@@ -29,6 +29,7 @@
   FlowKey flow;
   ServiceId service = kNoService;
   Bytes packet;
+  std::uint32_t sequence = 0;  // initial sequence number of the client
   // Servers that the packet was sent to; the answer of the last one is awaited.
   std::vector<ServerKey> attempted_servers;
   TimePoint started_at;  // when the first transmission arrived here
--- a/src/core/flow/agent/flow_agent.cc
+++ b/src/core/flow/agent/flow_agent.cc
@@ -74,6 +74,13 @@
   void OnReturned(const FlowPacket& packet);
   void OnOpening(const FlowPacket& packet);
   void OnNonOpening(const FlowPacket& packet);
+  // A client's packet of another flow than `flow`, which has the same key.
+  void OnOtherFlow(ServerFlow& flow, const FlowPacket& packet);
+  // Reports that the server does not hold the flow of `packet`, although it
+  // holds `flow` with the same key.
+  void DenyOtherFlow(ServerFlow& flow,
+                     const FlowPacket& packet,
+                     std::uint32_t balancer);
   void OnUnknownFlow(const FlowPacket& packet);
   // Whether the server does not hold `flow`, which is not in the flow table.
   bool IsKnownNotToHold(const FlowKey& flow) const;
@@ -281,6 +288,9 @@
       // The server has received the client's data up to here. Without this, a
       // duplicate of it would count as a request that is never answered.
       flow->client_sequence = packet.acknowledgement;
+      flow->learned = true;
+      flow->server_sequence = packet.sequence;
+      flow->server_sequence_known = !packet.opening && !packet.reset;
     }
     if (this->flows.NoteFromServer(this->now, *flow, packet)) {
       FlowEvent& event = this->Report(FlowEventKind::kAccepted);
@@ -299,7 +309,7 @@
 }
 
 void FlowAgent::Impl::OnReturned(const FlowPacket& packet) {
-  const ServerFlow* flow = this->flows.Find(packet.flow);
+  ServerFlow* flow = this->flows.Find(packet.flow);
   if (packet.opening) {
     FlowEvent& event = this->Report(FlowEventKind::kRefused);
     event.flow = packet.flow;
@@ -311,7 +321,10 @@
     this->Notify(packet.mark.balancer, NoticeKind::kRefused, packet, false);
     return;
   }
-  if (flow != nullptr && IsOfEarlierFlow(*flow, packet)) {
+  if (flow != nullptr && !AcknowledgesServer(*flow, packet)) {
+    if (!IsOfEarlierFlow(*flow, packet)) {
+      this->DenyOtherFlow(*flow, packet, packet.mark.balancer);
+    }
     return;
   }
   if (this->returned_flows.size() < kMaxReturnedFlows) {
@@ -412,11 +425,11 @@
     this->OnUnknownFlow(packet);
     return;
   }
-  if (!BelongsTo(*flow, packet)) {
-    this->NotifyNotHeld(packet.sender, packet);
-    return;
-  }
   if (!IsOfEarlierFlow(*flow, packet)) {
+    if (!BelongsTo(*flow, packet)) {
+      this->OnOtherFlow(*flow, packet);
+      return;
+    }
     this->flows.NoteFromClient(this->now, *flow, packet);
   }
   if (packet.mark.purpose == MarkPurpose::kSearch) {
@@ -425,6 +438,23 @@
   this->SendToServer(packet);
 }
 
+void FlowAgent::Impl::OnOtherFlow(ServerFlow& flow, const FlowPacket& packet) {
+  if (flow.learned) {
+    // The server tells, as for an unknown flow.
+    this->SendToServer(packet);
+  } else {
+    this->DenyOtherFlow(flow, packet, packet.sender);
+  }
+}
+
+void FlowAgent::Impl::DenyOtherFlow(ServerFlow& flow,
+                                    const FlowPacket& packet,
+                                    std::uint32_t balancer) {
+  flow.ambiguous = true;
+  this->metrics.Count("flow_packets_denied", "reason", "other_flow");
+  this->NotifyNotHeld(balancer, packet);
+}
+
 void FlowAgent::Impl::OnUnknownFlow(const FlowPacket& packet) {
   if (this->IsKnownNotToHold(packet.flow)) {
     this->NotifyNotHeld(packet.sender, packet);
--- a/src/core/flow/agent/flow_lookup.cc
+++ b/src/core/flow/agent/flow_lookup.cc
@@ -6,6 +6,9 @@
   if (flow == nullptr) {
     return is_complete ? LookupResult::kNotHeld : LookupResult::kUnknown;
   }
+  if (flow->ambiguous) {
+    return LookupResult::kUnknown;
+  }
   switch (flow->state) {
     case ServerFlowState::kRequested:
     case ServerFlowState::kAccepted:
--- a/src/core/flow/agent/server_flows.cc
+++ b/src/core/flow/agent/server_flows.cc
@@ -1,5 +1,7 @@
 #include "src/core/flow/agent/server_flows.h"
 
+#include "src/core/flow/common/flow_sequence.h"
+
 namespace cactuscross {
 namespace {
 
@@ -14,14 +16,20 @@
 constexpr Duration kOpenTimeout{60000000};
 constexpr Duration kClosingTimeout{6000000};
 
-// Maximum distance of a client's acknowledgement from its previous one, or from
-// the server's initial sequence number.
-constexpr std::uint32_t kAcknowledgementWindow = 1U << 20U;
-
 bool IsNewer(std::uint32_t sequence, std::uint32_t than) {
   return static_cast<std::int32_t>(sequence - than) > 0;
 }
 
+// Last acknowledgement of the client, or the server's initial sequence number;
+// nullopt if neither is known.
+std::optional<std::uint32_t> ExpectedAcknowledgement(const ServerFlow& flow) {
+  if (flow.acknowledgement != 0) {
+    return flow.acknowledgement;
+  }
+  return flow.server_sequence_known ? std::optional(flow.server_sequence)
+                                    : std::nullopt;
+}
+
 Duration IdleTimeout(ServerFlowState state) {
   switch (state) {
     case ServerFlowState::kRequested:
@@ -81,7 +89,9 @@
     flow.opening_sequence = packet.sequence;
     return;
   }
-  flow.acknowledgement = packet.acknowledgement;
+  if (packet.acknowledgement != 0) {
+    flow.acknowledgement = packet.acknowledgement;
+  }
   if (packet.closing || packet.reset) {
     this->SetState(flow, ServerFlowState::kClosing);
   } else if (flow.state != ServerFlowState::kClosing) {
@@ -106,6 +116,9 @@
                          flow.server_sequence != packet.sequence;
     if (accepts) {
       this->EndRequest(now, flow, RequestEnd::kUnknown);
+      flow.earlier_acknowledgement = ExpectedAcknowledgement(flow);
+      flow.learned = false;
+      flow.ambiguous = false;
       this->SetState(flow, ServerFlowState::kAccepted);
       flow.server_data_known = false;
       flow.client_sequence = flow.opening_sequence;
@@ -206,22 +219,21 @@
     case ServerFlowState::kRequested:
       return false;
     case ServerFlowState::kAccepted:
-      return packet.acknowledgement - flow.server_sequence <
-             kAcknowledgementWindow;
+      return packet.acknowledgement - flow.server_sequence < kSequenceWindow;
     default:
-      return true;
+      return AcknowledgesServer(flow, packet);
   }
 }
 
-bool IsOfEarlierFlow(const ServerFlow& flow, const FlowPacket& packet) {
-  if (!flow.server_sequence_known || packet.acknowledgement == 0) {
-    return false;
-  }
-  const std::uint32_t expected =
-      flow.acknowledgement == 0 ? flow.server_sequence : flow.acknowledgement;
+bool AcknowledgesServer(const ServerFlow& flow, const FlowPacket& packet) {
   // Reordered packets have lower acknowledgements.
-  return packet.acknowledgement - expected + kAcknowledgementWindow >=
-         2 * kAcknowledgementWindow;
+  return packet.acknowledgement == 0 ||
+         IsOfSameFlow(ExpectedAcknowledgement(flow), packet.acknowledgement);
+}
+
+bool IsOfEarlierFlow(const ServerFlow& flow, const FlowPacket& packet) {
+  return !AcknowledgesServer(flow, packet) && flow.earlier_acknowledgement &&
+         IsOfSameFlow(flow.earlier_acknowledgement, packet.acknowledgement);
 }
 
 }  // namespace cactuscross
--- a/src/core/flow/agent/server_flows.h
+++ b/src/core/flow/agent/server_flows.h
@@ -4,6 +4,7 @@
 // Flows of an agent's server, tracked from the packets that the agent forwards.
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -35,7 +36,16 @@
   std::uint32_t acknowledgement = 0;       // last one received from the client
   std::uint32_t server_data_sequence = 0;  // of the server's newest data packet
   bool server_data_known = false;          // `server_data_sequence` is set
-  bool running = false;                    // a request is in progress
+  // Expected acknowledgement in the flow that the server held before on the
+  // same key; nullopt if there was none.
+  std::optional<std::uint32_t> earlier_acknowledgement;
+  // The agent has not seen the flow's opening, so that its numbers are those of
+  // some packet of the server.
+  bool learned = false;
+  // A packet of another flow with the same key has arrived, so that the key
+  // alone does not tell whether the server holds a flow.
+  bool ambiguous = false;
+  bool running = false;        // a request is in progress
   double request_started = 0;  // its start in terms of CapacityMeter
   TimePoint used_at;
 };
@@ -94,11 +104,16 @@
 
 // True if `packet` of a client can belong to `flow`. Another server may have
 // accepted the same opening; the client then acknowledges only one of the two.
+// Or another server holds a flow that the client opened on the same port later.
 bool BelongsTo(const ServerFlow& flow, const FlowPacket& packet);
 
-// True if `packet` of a client belongs to an earlier flow of the same port: it
-// acknowledges nothing that the server can have sent in `flow`. Such packets
-// arrive late; the server rejects them by their sequence numbers.
+// True if `packet` of a client acknowledges what the server can have sent in
+// `flow`, or acknowledges nothing.
+bool AcknowledgesServer(const ServerFlow& flow, const FlowPacket& packet);
+
+// True if `packet` of a client belongs to the flow that the server held before
+// `flow`. Such packets arrive late; the server rejects them by their sequence
+// numbers.
 bool IsOfEarlierFlow(const ServerFlow& flow, const FlowPacket& packet);
 
 }  // namespace cactuscross
--- a/src/core/flow/balancer/flow_balancer.cc
+++ b/src/core/flow/balancer/flow_balancer.cc
@@ -9,6 +9,7 @@
 #include "src/core/flow/admission/opening_table.h"
 #include "src/core/flow/balancer/agent_queries.h"
 #include "src/core/flow/balancer/offer_requests.h"
+#include "src/core/flow/common/flow_sequence.h"
 #include "src/core/flow/common/response_timeout.h"
 #include "src/core/flow/forwarding/early_packets.h"
 #include "src/core/flow/forwarding/flow_cache.h"
@@ -116,6 +117,10 @@
                  TimePoint arrived_at,
                  const FlowRoute& route);
   void OnNonOpening(const FlowPacket& packet, TimePoint arrived_at);
+  // Counts a packet that is dropped because another flow of the client's port
+  // is being opened or searched for. If it is not late, the client sends it
+  // again.
+  void DropOfAnotherFlow();
 
   // Estimates the start time of the client's request for which a flow is
   // opened.
@@ -291,8 +296,8 @@
   if (opening == nullptr) {
     // A second server accepted the same opening. Keep the first one in the
     // cache, since its answer probably reached the client first.
-    if (this->cache.Lookup(this->now, notice.flow, false) == kNoServer) {
-      this->cache.Put(this->now, notice.flow, server);
+    if (this->cache.ServerOf(notice.flow) == kNoServer) {
+      this->cache.Put(this->now, notice.flow, server, std::nullopt);
     }
     return;
   }
@@ -303,7 +308,7 @@
   this->metrics.Observe("flow_opening_ms", event.age->count() / 1000.0);
   this->response_timeout.NoteAnswered(this->now);
   this->admission->NoteAccepted(this->now, *opening);
-  this->cache.Put(this->now, notice.flow, server);
+  this->cache.Put(this->now, notice.flow, server, opening->sequence);
   this->openings.Erase(notice.flow);
 }
 
@@ -316,7 +321,7 @@
 }
 
 void FlowBalancer::Impl::ForgetHolder(const FlowKey& flow, ServerKey server) {
-  if (this->cache.Lookup(this->now, flow, false) == server) {
+  if (this->cache.ServerOf(flow) == server) {
     this->cache.Erase(flow);
   }
 }
@@ -352,9 +357,16 @@
 }
 
 void FlowBalancer::Impl::OnHeld(const FlowNotice& notice, ServerKey server) {
-  this->cache.Put(this->now, notice.flow, server);
-  this->openings.Erase(notice.flow);
-  this->searcher.NoteHeld(this->now, notice, server);
+  if (this->openings.Find(notice.flow) != nullptr) {
+    // The client has opened a new flow on the port since the query was sent.
+    return;
+  }
+  const auto found = this->searcher.NoteHeld(this->now, notice, server);
+  if (found) {
+    this->cache.Put(this->now, found->flow, server, found->sequence);
+  } else if (this->cache.ServerOf(notice.flow) == kNoServer) {
+    this->cache.Put(this->now, notice.flow, server, std::nullopt);
+  }
 }
 
 void FlowBalancer::Impl::OnNotHeld(const FlowNotice& notice, ServerKey server) {
@@ -362,26 +374,32 @@
     return;
   }
   // Either the cache entry is wrong or the server has lost the flow.
-  if (this->cache.Lookup(this->now, notice.flow, false) != server) {
+  if (this->cache.ServerOf(notice.flow) != server) {
     return;
   }
+  const auto sequence = this->cache.SequenceOf(notice.flow);
   this->cache.Erase(notice.flow);
+  if (this->openings.Find(notice.flow) != nullptr) {
+    return;  // the client opens a new flow on the port
+  }
   const FlowRoute* route =
       this->view.Routes().Find(notice.flow.service_address);
   // A packet without acknowledgement is an opening. A search would open the
   // flow at several servers; the client sends it again.
   if (route != nullptr && !notice.packet.empty() &&
       notice.acknowledgement != 0) {
-    this->searcher.Begin(this->now, notice.flow, notice.packet,
-                         notice.acknowledgement, this->now, true);
+    this->searcher.Begin(this->now,
+                         {notice.flow, notice.packet, sequence,
+                          notice.acknowledgement, this->now},
+                         true);
   }
 }
 
 void FlowBalancer::Impl::OnLookupReply(const FlowNotice& notice,
                                        ServerKey server) {
-  for (const FlowKey& flow :
+  for (const FoundFlow& found :
        this->searcher.NoteLookupReply(this->now, notice, server)) {
-    this->cache.Put(this->now, flow, server);
+    this->cache.Put(this->now, found.flow, server, found.sequence);
   }
 }
 
@@ -462,7 +480,13 @@
 void FlowBalancer::Impl::OnOpening(const FlowPacket& packet,
                                    TimePoint arrived_at,
                                    const FlowRoute& route) {
-  if (Opening* opening = this->openings.Find(packet.flow)) {
+  Opening* opening = this->openings.Find(packet.flow);
+  if (opening != nullptr && opening->sequence != packet.sequence) {
+    // The client has given up that one and uses the port again.
+    this->openings.Erase(packet.flow);
+    opening = nullptr;
+  }
+  if (opening != nullptr) {
     NoteTransmission(*opening, packet.retransmit_count);
     // The client retransmits: the datagram to or from the server may be lost.
     const ServerEntry* entry =
@@ -480,16 +504,18 @@
     }
     return;
   }
-  const ServerKey holder = this->cache.Lookup(this->now, packet.flow, false);
+  const ServerKey holder = this->cache.Lookup(this->now, packet);
   const ServerEntry* entry = this->view.Servers().Find(holder);
-  if (entry != nullptr && !entry->suspected &&
-      RejectionReason(route, *entry).empty()) {
+  if (holder == kNoServer) {
+    this->cache.Erase(packet.flow);  // an earlier flow of the port
+  } else if (entry != nullptr && !entry->suspected &&
+             RejectionReason(route, *entry).empty()) {
     this->sender.Forward(*entry, MarkPurpose::kOpening,
                          Bytes(packet.bytes.begin(), packet.bytes.end()));
     return;
   }
   this->searcher.Abandon(packet.flow);
-  Opening* opening = this->openings.Add(packet.flow);
+  opening = this->openings.Add(packet.flow);
   if (opening == nullptr) {
     this->metrics.Count("flow_packets_dropped", "reason", "openings_full");
     return;
@@ -497,6 +523,7 @@
   opening->service = ChooseService(packet.flow, route.services);
   opening->max_wait = MaxWait(route.time_limit);
   opening->packet.assign(packet.bytes.begin(), packet.bytes.end());
+  opening->sequence = packet.sequence;
   opening->started_at = arrived_at;
   NoteTransmission(*opening, packet.retransmit_count);
   opening->request_started_at = this->RequestStartTime(packet, arrived_at);
@@ -626,23 +653,36 @@
     return;
   }
   if (const Opening* opening = this->openings.Find(packet.flow)) {
+    if (!IsOfSameFlow(opening->sequence, packet.sequence)) {
+      this->DropOfAnotherFlow();
+      return;
+    }
     // The client got the server's acceptance, but the agent's notice of it did
     // not arrive here.
     if (!opening->attempted_servers.empty()) {
-      this->cache.Put(this->now, packet.flow,
-                      opening->attempted_servers.back());
+      this->cache.Put(this->now, packet.flow, opening->attempted_servers.back(),
+                      opening->sequence);
     }
     this->openings.Erase(packet.flow);
   }
-  const ServerKey holder = this->cache.Lookup(this->now, packet.flow,
-                                              packet.closing || packet.reset);
+  const ServerKey holder = this->cache.Lookup(this->now, packet);
   if (const ServerEntry* entry = this->view.Servers().Find(holder)) {
     this->sender.Forward(*entry, MarkPurpose::kCached,
                          Bytes(packet.bytes.begin(), packet.bytes.end()));
     return;
   }
-  this->searcher.Begin(this->now, packet.flow, packet.bytes,
-                       packet.acknowledgement, arrived_at, false);
+  if (this->searcher.IsSearching(packet.flow)) {
+    this->DropOfAnotherFlow();
+    return;
+  }
+  this->searcher.Begin(this->now,
+                       {packet.flow, packet.bytes, packet.sequence,
+                        packet.acknowledgement, arrived_at},
+                       false);
+}
+
+void FlowBalancer::Impl::DropOfAnotherFlow() {
+  this->metrics.Count("flow_packets_dropped", "reason", "other_flow");
 }
 
 void FlowBalancer::Impl::ProcessOpeningTimeouts() {
--- a/src/core/flow/forwarding/flow_cache.h
+++ b/src/core/flow/forwarding/flow_cache.h
@@ -3,8 +3,10 @@
 
 // LRU cache that maps flows to the servers that hold them. Has a maximum size;
 // eviction prefers flows whose client has closed its side. A lookup that misses
-// costs a search.
+// costs a search. Of the flows of one key, only the last one is known.
 
+#include <cstdint>
+#include <optional>
 #include <unordered_map>
 
 #include <boost/intrusive/list.hpp>
@@ -16,12 +18,21 @@
 
 class FlowCache {
  public:
-  // Records that `server` holds `flow`.
-  void Put(TimePoint now, const FlowKey& flow, ServerKey server);
-
-  // Returns the server of `flow` and marks the entry as recently used; returns
-  // kNoServer if unknown. `closing`: the client has closed its side.
-  ServerKey Lookup(TimePoint now, const FlowKey& flow, bool closing);
+  // Records that `server` holds `flow`. `sequence`: sequence number of the
+  // client in it; nullopt if unknown.
+  void Put(TimePoint now,
+           const FlowKey& flow,
+           ServerKey server,
+           std::optional<std::uint32_t> sequence);
+
+  // Returns the server of the flow that `packet` of a client belongs to, and
+  // marks the entry as recently used; returns kNoServer if unknown.
+  ServerKey Lookup(TimePoint now, const FlowPacket& packet);
+
+  // Server of the last known flow with the key `flow`; kNoServer if unknown.
+  ServerKey ServerOf(const FlowKey& flow) const;
+  // Last sequence number of the client in that flow; nullopt if unknown.
+  std::optional<std::uint32_t> SequenceOf(const FlowKey& flow) const;
 
   void Erase(const FlowKey& flow);
   void Expire(TimePoint now);
@@ -32,12 +43,14 @@
     FlowKey flow;
     ServerKey server = kNoServer;
     TimePoint used_at;
-    bool closing = false;
+    std::optional<std::uint32_t> sequence;  // last one of the client
+    bool closing = false;                   // the client has closed its side
   };
   using Entries = std::unordered_map<FlowKey, Entry, FlowKeyHash>;
   // Ordered by last use, least recently used first.
   using LruList = boost::intrusive::list<Entry>;
 
+  void Touch(TimePoint now, Entry& entry, bool closing);
   void EraseEntry(Entry& entry);
 
   Entries entries;
--- a/src/core/flow/search/flow_searcher.cc
+++ b/src/core/flow/search/flow_searcher.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "src/core/flow/common/flow_sequence.h"
 #include "src/core/flow/placement/placement.h"
 #include "src/core/flow/search/request_start.h"
 
@@ -73,20 +74,19 @@
 
 bool FlowSearcher::BufferPacket(const FlowPacket& packet) {
   FlowSearch* search = this->searches.Find(packet.flow);
-  if (search == nullptr) {
+  if (search == nullptr || !IsOfSameFlow(search->sequence, packet.sequence)) {
     return false;
   }
   AddPacket(*search, packet.bytes);
+  search->sequence = packet.sequence;
   search->last_acknowledgement = packet.acknowledgement;
   return true;
 }
 
 void FlowSearcher::Begin(TimePoint now,
-                         const FlowKey& flow,
-                         ByteView packet,
-                         std::uint32_t acknowledgement,
-                         TimePoint arrived_at,
+                         const SearchedPacket& packet,
                          bool holder_denied) {
+  const FlowKey& flow = packet.flow;
   FlowSearch* search = this->searches.Add(flow);
   if (search == nullptr) {
     this->metrics.Count("flow_packets_dropped", "reason", "searches_full");
@@ -94,14 +94,19 @@
   }
   search->candidates = this->Candidates(now, flow);
   search->request_started_at =
-      EstimateRequestStart(arrived_at, this->receiving_since);
+      EstimateRequestStart(packet.arrived_at, this->receiving_since);
   const auto denial = this->denials.find(flow);
-  if (denial != this->denials.end()) {
+  if (denial != this->denials.end() && packet.sequence &&
+      !IsOfSameFlow(denial->second.sequence, *packet.sequence)) {
+    // A server that denied an earlier flow of the port may hold this one.
+    this->denials.erase(denial);
+  } else if (denial != this->denials.end()) {
     RemoveDenied(*search, denial->second.servers);
     search->request_started_at = denial->second.request_started_at;
   }
-  AddPacket(*search, packet);
-  search->last_acknowledgement = acknowledgement;
+  AddPacket(*search, packet.bytes);
+  search->sequence = packet.sequence;
+  search->last_acknowledgement = packet.acknowledgement;
   search->number = ++this->searches_begun;
   search->started_at = now;
   search->holder_denied = holder_denied;
@@ -136,14 +141,17 @@
   return candidates;
 }
 
-void FlowSearcher::NoteHeld(TimePoint now,
-                            const FlowNotice& notice,
-                            ServerKey server) {
+std::optional<FoundFlow> FlowSearcher::NoteHeld(TimePoint now,
+                                                const FlowNotice& notice,
+                                                ServerKey server) {
   this->denials.erase(notice.flow);
   FlowSearch* search = this->searches.Find(notice.flow);
-  if (search != nullptr) {
-    this->EndFound(now, *search, server);
+  if (search == nullptr) {
+    return std::nullopt;
   }
+  const FoundFlow found{search->flow, search->sequence};
+  this->EndFound(now, *search, server);
+  return found;
 }
 
 void FlowSearcher::EndFound(TimePoint now,
@@ -164,10 +172,10 @@
   }
 }
 
-std::vector<FlowKey> FlowSearcher::NoteLookupReply(TimePoint now,
-                                                   const FlowNotice& notice,
-                                                   ServerKey server) {
-  std::vector<FlowKey> held;
+std::vector<FoundFlow> FlowSearcher::NoteLookupReply(TimePoint now,
+                                                     const FlowNotice& notice,
+                                                     ServerKey server) {
+  std::vector<FoundFlow> held;
   for (const LookupAnswer& answer : this->batcher.NoteReply(
            server, notice.lookups, this->congestion_window)) {
     const LookupResult result = notice.kind == NoticeKind::kWrongService
@@ -179,7 +187,7 @@
       continue;
     }
     if (result == LookupResult::kHeld) {
-      held.push_back(search->flow);
+      held.push_back({search->flow, search->sequence});
       this->EndFound(now, *search, server);
       continue;
     }
@@ -539,6 +547,7 @@
   } else if (this->denials.size() < kMaxDenials) {
     Denial& denial = this->denials[flow];
     denial.at = now;
+    denial.sequence = search.sequence;
     denial.request_started_at = search.request_started_at;
     denial.servers.insert(denial.servers.end(), search.denied.begin(),
                           search.denied.end());
--- a/src/core/flow/search/flow_searcher.h
+++ b/src/core/flow/search/flow_searcher.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -22,6 +23,21 @@
 
 namespace cactuscross {
 
+// A packet of a client whose flow is searched for.
+struct SearchedPacket {
+  FlowKey flow;
+  ByteView bytes;
+  std::optional<std::uint32_t> sequence;  // nullopt if unknown
+  std::uint32_t acknowledgement = 0;
+  TimePoint arrived_at;  // the packet may have been buffered since
+};
+
+// A flow whose server was found.
+struct FoundFlow {
+  FlowKey flow;
+  std::optional<std::uint32_t> sequence;  // of the client; nullopt if unknown
+};
+
 class FlowSearcher {
  public:
   // `batched_lookup`: queries agents by the keys of flows, many in a datagram,
@@ -38,23 +54,23 @@
         batched_lookup(batched_lookup) {}
 
   // Buffers a packet if a search for its flow is in progress; returns false if
-  // none is.
+  // none is. A packet of another flow with the same key is not buffered.
   bool BufferPacket(const FlowPacket& packet);
+  // True if a search for a flow with this key is in progress.
+  bool IsSearching(const FlowKey& flow) {
+    return this->searches.Find(flow) != nullptr;
+  }
 
   // Begins a search among the servers of the services that may hold the flow.
-  // `arrived_at`: arrival of the packet, which may have been buffered.
   // `holder_denied`: the server that held the flow reported that it no longer
   // holds it.
-  void Begin(TimePoint now,
-             const FlowKey& flow,
-             ByteView packet,
-             std::uint32_t acknowledgement,
-             TimePoint arrived_at,
-             bool holder_denied);
+  void Begin(TimePoint now, const SearchedPacket& packet, bool holder_denied);
 
   // `server` holds the flow of the notice: forwards the buffered packets to it
-  // and ends the search.
-  void NoteHeld(TimePoint now, const FlowNotice& notice, ServerKey server);
+  // and ends the search. Returns nullopt if no search is in progress.
+  std::optional<FoundFlow> NoteHeld(TimePoint now,
+                                    const FlowNotice& notice,
+                                    ServerKey server);
   // `server` does not hold the flow of the notice. Returns false if no search
   // for the flow is in progress.
   bool NoteNotHeld(TimePoint now, const FlowNotice& notice, ServerKey server);
@@ -62,9 +78,9 @@
   // The agent of `server` answered a lookup, or rejected it because its service
   // is another one. Ends the searches that found their server and returns their
   // flows.
-  std::vector<FlowKey> NoteLookupReply(TimePoint now,
-                                       const FlowNotice& notice,
-                                       ServerKey server);
+  std::vector<FoundFlow> NoteLookupReply(TimePoint now,
+                                         const FlowNotice& notice,
+                                         ServerKey server);
 
   // The client opens the flow again: drops its search and recorded denials. The
   // answers to queries that are in flight are out of date.
@@ -84,6 +100,7 @@
   // result. The next search for the flow does not query them again.
   struct Denial {
     std::vector<ServerKey> servers;
+    std::optional<std::uint32_t> sequence;  // of the client; nullopt if unknown
     TimePoint at;
     TimePoint request_started_at;  // as estimated at the first search
   };
--- a/src/core/flow/search/search_table.h
+++ b/src/core/flow/search/search_table.h
@@ -32,7 +32,9 @@
   // The first one is the query by packet. All are forwarded to the server
   // found, unless it got the first one as a query.
   std::vector<Bytes> packets;
-  std::uint32_t last_acknowledgement = 0;  // of the client
+  // Last ones of the client; the sequence number is nullopt if unknown.
+  std::optional<std::uint32_t> sequence;
+  std::uint32_t last_acknowledgement = 0;
   TimePoint started_at;
   // Estimated start of the client's request.
   TimePoint request_started_at;
