Openings: a server that leaves gets no new flows of ports used before

The flow cache decided where an opening goes, and did not check that the server leaves or is no longer listed, as placement does. On the agent, a key known from an earlier flow exempted an opening from the checks for an agent that is stopping and for a server without free capacity.

Evidence: PortUsedAgainAvoidsALeavingServer, RetransmissionAvoidsALeavingServer and PortUsedAgainIsNewToItsAgent failed on the code before. Since flows of one port are told apart, most new flows are placed anew; one whose initial sequence number is close to that of the earlier flow, and a retransmission, were not.

Why this works: RejectionReason() includes the state of the server, so that no path sends an opening to one that placement would not choose. An agent exempts only further transmissions of the opening that it has forwarded; these are still answered by the same server.

--- a/src/core/flow/agent/flow_agent.cc
+++ b/src/core/flow/agent/flow_agent.cc
@@ -387,7 +387,7 @@
     return;
   }
   ServerFlow* flow = this->flows.Find(packet.flow);
-  if (flow == nullptr) {
+  if (flow == nullptr || !IsOpeningOf(*flow, packet)) {
     if (this->shutdown.IsRequested()) {
       this->Notify(packet.sender, NoticeKind::kRefused, packet, false);
       return;
@@ -399,7 +399,9 @@
       this->RefuseOpening(packet, NoticeKind::kSaturated, "saturated");
       return;
     }
-    flow = &this->flows.Add(this->now, packet.flow);
+    if (flow == nullptr) {
+      flow = &this->flows.Add(this->now, packet.flow);
+    }
     this->recent_openings.push_back(this->now);
     this->shutdown.NoteOpening(this->now);
   }
--- a/src/core/flow/agent/server_flows.cc
+++ b/src/core/flow/agent/server_flows.cc
@@ -214,6 +214,12 @@
   return true;
 }
 
+bool IsOpeningOf(const ServerFlow& flow, const FlowPacket& packet) {
+  // The opening packet of a flow from before the agent's start is not known.
+  return packet.sequence == flow.opening_sequence ||
+         flow.client_sequence - packet.sequence < kSequenceWindow;
+}
+
 bool BelongsTo(const ServerFlow& flow, const FlowPacket& packet) {
   switch (flow.state) {
     case ServerFlowState::kRequested:
--- a/src/core/flow/agent/server_flows.h
+++ b/src/core/flow/agent/server_flows.h
@@ -102,6 +102,10 @@
   bool evicted = false;
 };
 
+// True if `packet`, which opens a flow, is a transmission of the one that
+// opened `flow`. Otherwise the client opens a new flow on the port.
+bool IsOpeningOf(const ServerFlow& flow, const FlowPacket& packet);
+
 // True if `packet` of a client can belong to `flow`. Another server may have
 // accepted the same opening; the client then acknowledges only one of the two.
 // Or another server holds a flow that the client opened on the same port later.
--- a/src/core/flow/balancer/flow_balancer.cc
+++ b/src/core/flow/balancer/flow_balancer.cc
@@ -496,7 +496,7 @@
     if (entry == nullptr) {
       return;
     }
-    const std::string_view reason = RejectionReason(route, *entry);
+    const std::string_view reason = RejectionReason(this->now, route, *entry);
     if (reason.empty()) {
       this->sender.Forward(*entry, MarkPurpose::kOpening, opening->packet);
     } else {
@@ -509,7 +509,7 @@
   if (holder == kNoServer) {
     this->cache.Erase(packet.flow);  // an earlier flow of the port
   } else if (entry != nullptr && !entry->suspected &&
-             RejectionReason(route, *entry).empty()) {
+             RejectionReason(this->now, route, *entry).empty()) {
     this->sender.Forward(*entry, MarkPurpose::kOpening,
                          Bytes(packet.bytes.begin(), packet.bytes.end()));
     return;
--- a/src/core/flow/placement/eligibility.cc
+++ b/src/core/flow/placement/eligibility.cc
@@ -4,7 +4,8 @@
 
 namespace cactuscross {
 
-std::string_view RejectionReason(const FlowRoute& route,
+std::string_view RejectionReason(TimePoint now,
+                                 const FlowRoute& route,
                                  const ServerEntry& entry) {
   if (!NamesService(route, entry.server.service)) {
     return "service_changed";
@@ -12,7 +13,13 @@
   if (IsEvacuated(entry)) {
     return kZoneEvacuatedReason;
   }
-  return entry.load.down ? "server_down" : std::string_view();
+  if (entry.load.down) {
+    return "server_down";
+  }
+  if (entry.server.phase == ServerPhase::kLeaving) {
+    return "leaving";
+  }
+  return AcceptsNewFlows(now, entry) ? std::string_view() : "not_listed";
 }
 
 }  // namespace cactuscross
--- a/src/core/flow/placement/eligibility.h
+++ b/src/core/flow/placement/eligibility.h
@@ -12,7 +12,8 @@
 // Why the server of `entry` may take no new flow of `route` now; empty if it
 // may. Checked for each transmission of an opening: the route, the server and
 // the zone may have changed since it was assigned.
-std::string_view RejectionReason(const FlowRoute& route,
+std::string_view RejectionReason(TimePoint now,
+                                 const FlowRoute& route,
                                  const ServerEntry& entry);
 
 }  // namespace cactuscross
--- a/tests/flow/test_opening_eligibility.cc
+++ b/tests/flow/test_opening_eligibility.cc
@@ -62,6 +62,9 @@
 class OpeningEligibilityTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(OpeningEligibilityTest);
   CPPUNIT_TEST(PortUsedAgainFollowsTheRoute);
+  CPPUNIT_TEST(PortUsedAgainAvoidsALeavingServer);
+  CPPUNIT_TEST(RetransmissionAvoidsALeavingServer);
+  CPPUNIT_TEST(PortUsedAgainIsNewToItsAgent);
   CPPUNIT_TEST(RetransmissionFollowsTheRoute);
   CPPUNIT_TEST(WaitingOpeningFollowsTheRoute);
   CPPUNIT_TEST(WaitingOpeningOfADroppedRouteIsRefused);
@@ -79,6 +82,72 @@
                    site.HostsOf(site.Send(MakeOpening(kNextClient))));
   }
 
+  // Guards against new flows at a server that leaves: the cache knew it from
+  // the port's last flow (review/5). The initial sequence number may be close
+  // to that of the earlier flow by chance.
+  void PortUsedAgainAvoidsALeavingServer() {
+    const std::string draining =
+        MakeEntry("10.0.0.1:1", "draining", R"("seq":501,"born":1000)");
+    // An unreadable entry names no server: this one is gone.
+    for (const std::string& entry : {draining, std::string()}) {
+      for (const std::uint32_t sequence : {kNextClient, kFirstClient + 1000}) {
+        SiteWithParts site;
+        site.OpenAt(kHostA);
+        site.Put("servers/a", entry);
+        site.Run(seconds(3));
+        CPPUNIT_ASSERT(std::vector{kHostB} ==
+                       site.HostsOf(site.Send(MakeOpening(sequence))));
+      }
+    }
+  }
+
+  // The same for an opening without an answer from the server so far.
+  void RetransmissionAvoidsALeavingServer() {
+    SiteWithParts site;
+    site.Notify(NoticeKind::kLoad, kHostB, kFull);
+    site.PauseStore();
+    CPPUNIT_ASSERT(std::vector{kHostA} ==
+                   site.HostsOf(site.Send(MakeOpening(kFirstClient))));
+    site.Put("servers/a",
+             MakeEntry("10.0.0.1:1", "draining", R"("seq":501,"born":1000)"));
+    site.store_answers = true;
+    site.Notify(NoticeKind::kLoad, kHostB, 0);
+    CPPUNIT_ASSERT(std::vector{kHostB} ==
+                   site.HostsOf(site.Send(MakeRetransmission(kFirstClient))));
+  }
+
+  // The agent knew the port from its last flow: it sent a new opening to its
+  // server although it was stopping or the server had no capacity.
+  void PortUsedAgainIsNewToItsAgent() {
+    for (const bool stopping : {true, false}) {
+      AgentOfServer agent;
+      agent.Open(kFirstClient, kFirstServer);
+      FlowAgentInbox inbox;
+      inbox.stop_requested = stopping;
+      if (!stopping) {
+        FlowNotice& query = inbox.notices.emplace_back();
+        query.kind = NoticeKind::kQuery;
+        query.service_tag = kDeskTag;
+        query.max_running = 1;
+        FlowPacket request = MakePacket(kFirstClient + 1, kFirstServer + 1);
+        request.data_bytes = 100;
+        agent.FromClient(request);
+      }
+      agent.Tick(inbox);
+      const FlowAgentOutbox refused =
+          agent.FromClient(MakeOpening(kNextClient));
+      CPPUNIT_ASSERT(refused.to_server.empty());
+      CPPUNIT_ASSERT_EQUAL(
+          std::size_t{1},
+          CountNotices(refused, stopping ? NoticeKind::kRefused
+                                         : NoticeKind::kSaturated));
+      // A retransmission is answered, whatever the load.
+      CPPUNIT_ASSERT_EQUAL(
+          std::size_t{1},
+          agent.FromClient(MakeRetransmission(kFirstClient)).to_server.size());
+    }
+  }
+
   // The same for an opening without an answer from the server so far.
   void RetransmissionFollowsTheRoute() {
     SiteWithParts site;
--- a/tests/flow_processes/run.py
+++ b/tests/flow_processes/run.py
@@ -450,6 +450,38 @@
     flow_at(site, "s0")
 
 
+def open_again(site, flow):
+    """Opens a flow from the port of `flow`, which its server has forgotten."""
+    for server in site.servers.values():
+        server.flows.pop((flow.source, flow.service), None)
+    site.client.next_port = flow.source[1] - 1
+    again = site.client.open(SERVICE_ADDRESS)
+    expect(again is not None, "a flow from a port used before was not accepted")
+    return again
+
+
+def port_is_used_again(site):
+    """New flows from a port used before are whole on any balancer, and go to a
+    server of the route that is not leaving."""
+    flow = site.client.open(SERVICE_ADDRESS)
+    for _ in range(10):
+        name = flow.exchange(b"first")[:2]
+        for _ in range(4):
+            answer = flow.exchange(b"next")
+            expect(answer and answer.startswith(name), f"flow got {answer}")
+        flow = open_again(site, flow)
+    flow = flow_at(site, "s0")
+    site.publish_server(0, "desk", "draining")
+    time.sleep(1.0)
+    flow = open_again(site, flow)
+    expect(flow.exchange(b"x").startswith("s1"), "leaving server got a flow")
+    site.routes[8080] = "parts"
+    site.publish_routes()
+    time.sleep(1.0)
+    flow = open_again(site, flow)
+    expect(flow.exchange(b"x").startswith("s2"), "served by the old service")
+
+
 def zone_is_evacuated(site):
     """An order whose value is no JSON keeps new flows from the zone, also after
     its agent has restarted; open flows continue. Without a zone left, openings
@@ -490,7 +522,7 @@
              agent_stops_under_load, hostile_datagrams, server_dies,
              restart_without_store, routes_and_drain, store_is_restored,
              reused_revisions_are_noticed, settings_change, zone_is_evacuated,
-             foreign_entry_on_a_host, crash_is_logged]
+             foreign_entry_on_a_host, port_is_used_again, crash_is_logged]
 
 
 def main():
