--- a/tests/run_sanitized.sh
+++ b/tests/run_sanitized.sh
@@ -10,7 +10,8 @@
 sources="tests/test_main.cc tests/flow/test_view_gossip.cc
   tests/flow/test_store_eras.cc tests/flow/test_flow_fleet.cc
   tests/flow/test_flow_congestion_control.cc tests/flow/test_flow_faults.cc
-  tests/flow/flow_cores.cc
+  tests/flow/flow_cores.cc tests/flow/test_foreign_entries.cc
+  tests/flow/test_flow_identity.cc tests/flow/test_opening_eligibility.cc
   $(ls tests/support/flow_simulation*.cc) tests/support/link.cc
   $(find src/core/flow -name '*.cc') src/core/common/metric_set.cc
   src/core/types.cc src/wire/flow_codec.cc src/wire/flow.pb.cc
