Flow agent: denials of an opening at two servers are not those of another flow

What operators would see: flow_packets_denied with the reason other_flow also counted packets that acknowledge another server which had accepted the same opening, as happens after retransmissions. Such a flow was marked as ambiguous as well, so that each later lookup of it needed a packet.

Cause: the same function answered both cases since flows of one port are told apart.

Evidence: DenialOfAnOpeningLeavesTheKeyCertain failed before.

Why this works: before the client has acknowledged this server, a packet that does not fit is answered as it was before, without a mark or a count.

--- a/src/core/flow/admission/admission_policy.h
+++ b/src/core/flow/admission/admission_policy.h
@@ -59,8 +59,8 @@
   // otherwise it was queued.
   virtual bool Admit(TimePoint now, Opening& opening) = 0;
   // Queues an opening that found all servers saturated, or that waits for
-  // another service than before. Returns whether this
-  // has to be reported now; otherwise Tick() does.
+  // another service than before. Returns whether this has to be reported now;
+  // otherwise Tick() does.
   virtual bool Enqueue(TimePoint now, Opening& opening) = 0;
   // True if the opening must leave a part of the servers' capacity free.
   virtual bool MustKeepReserve(TimePoint now, const Opening& opening) const = 0;
--- a/src/core/flow/agent/flow_agent.cc
+++ b/src/core/flow/agent/flow_agent.cc
@@ -74,7 +74,7 @@
   void OnReturned(const FlowPacket& packet);
   void OnOpening(const FlowPacket& packet);
   void OnNonOpening(const FlowPacket& packet);
-  // A client's packet of another flow than `flow`, which has the same key.
+  // A client's packet that does not belong to `flow`, which has the same key.
   void OnOtherFlow(ServerFlow& flow, const FlowPacket& packet);
   // Reports that the server does not hold the flow of `packet`, although it
   // holds `flow` with the same key.
@@ -444,6 +444,10 @@
   if (flow.learned) {
     // The server tells, as for an unknown flow.
     this->SendToServer(packet);
+  } else if (flow.state == ServerFlowState::kRequested ||
+             flow.state == ServerFlowState::kAccepted) {
+    // Another server may have accepted the same opening.
+    this->NotifyNotHeld(packet.sender, packet);
   } else {
     this->DenyOtherFlow(flow, packet, packet.sender);
   }
--- a/src/core/flow/balancer/flow_balancer.cc
+++ b/src/core/flow/balancer/flow_balancer.cc
@@ -116,6 +116,9 @@
   void OnOpening(const FlowPacket& packet,
                  TimePoint arrived_at,
                  const FlowRoute& route);
+  // Sends an opening that the client retransmits to the same server again, or
+  // to the next one if that server may no longer take it.
+  void Resend(Opening& opening, const FlowRoute& route);
   void OnNonOpening(const FlowPacket& packet, TimePoint arrived_at);
   // Counts a packet that is dropped because another flow of the client's port
   // is being opened or searched for. If it is not late, the client sends it
@@ -481,29 +484,15 @@
                                    TimePoint arrived_at,
                                    const FlowRoute& route) {
   Opening* opening = this->openings.Find(packet.flow);
-  if (opening != nullptr && opening->sequence != packet.sequence) {
-    // The client has given up that one and uses the port again.
-    this->openings.Erase(packet.flow);
-    opening = nullptr;
-  }
-  if (opening != nullptr) {
+  if (opening != nullptr && opening->sequence == packet.sequence) {
     NoteTransmission(*opening, packet.retransmit_count);
-    // The client retransmits: the datagram to or from the server may be lost.
-    const ServerEntry* entry =
-        opening->waiting
-            ? nullptr
-            : this->view.Servers().Find(opening->attempted_servers.back());
-    if (entry == nullptr) {
-      return;
-    }
-    const std::string_view reason = RejectionReason(this->now, route, *entry);
-    if (reason.empty()) {
-      this->sender.Forward(*entry, MarkPurpose::kOpening, opening->packet);
-    } else {
-      this->SendToNextServer(*opening, reason);
-    }
+    this->Resend(*opening, route);
     return;
   }
+  if (opening != nullptr) {
+    // The client has given up that one and uses the port again.
+    this->openings.Erase(packet.flow);
+  }
   const ServerKey holder = this->cache.Lookup(this->now, packet);
   const ServerEntry* entry = this->view.Servers().Find(holder);
   if (holder == kNoServer) {
@@ -535,6 +524,23 @@
   }
 }
 
+// The datagram to or from the server may have been lost.
+void FlowBalancer::Impl::Resend(Opening& opening, const FlowRoute& route) {
+  const ServerEntry* entry =
+      opening.waiting
+          ? nullptr
+          : this->view.Servers().Find(opening.attempted_servers.back());
+  if (entry == nullptr) {
+    return;
+  }
+  const std::string_view reason = RejectionReason(this->now, route, *entry);
+  if (reason.empty()) {
+    this->sender.Forward(*entry, MarkPurpose::kOpening, opening.packet);
+  } else {
+    this->SendToNextServer(opening, reason);
+  }
+}
+
 TimePoint FlowBalancer::Impl::RequestStartTime(const FlowPacket& packet,
                                                TimePoint arrived_at) {
   if (this->by_priority) {
--- a/src/core/flow/common/flow_sequence.h
+++ b/src/core/flow/common/flow_sequence.h
@@ -10,8 +10,9 @@
 namespace cactuscross {
 
 // Maximum distance of a sequence or acknowledgement number from the last one of
-// the same flow. The numbers of another flow are this close by chance in one of
-// 2,048 cases.
+// the same flow. Must exceed what an end may have in flight, or send while its
+// packets take another path. The numbers of another flow are this close by
+// chance in one of 2,048 cases; its packets are then rejected by the server.
 inline constexpr std::uint32_t kSequenceWindow = 1U << 20U;
 
 // True if `number` may follow `last` in one flow, or precede it in a packet
--- a/tests/flow/flow_cores.cc
+++ b/tests/flow/flow_cores.cc
@@ -120,6 +120,14 @@
   return this->Tick(inbox).resets.size();
 }
 
+double AgentOfServer::Metric(const std::string& name) const {
+  const std::vector<MetricSample> samples = this->agent.Metrics();
+  const auto found = std::find_if(
+      samples.begin(), samples.end(),
+      [&name](const MetricSample& sample) { return sample.name == name; });
+  return found == samples.end() ? 0 : found->value;
+}
+
 std::string MakeEntry(const std::string& address,
                       const std::string& state,
                       const std::string& rest,
--- a/tests/flow/flow_cores.h
+++ b/tests/flow/flow_cores.h
@@ -49,6 +49,8 @@
   FlowAgentOutbox OpenTwice();
   // Flows that the agent resets when its server dies.
   std::size_t OpenFlows();
+  // Value of a metric, whatever its labels; 0 if there is none.
+  double Metric(const std::string& name) const;
 
   TimePoint now;
 
--- a/tests/flow/test_flow_identity.cc
+++ b/tests/flow/test_flow_identity.cc
@@ -79,6 +79,7 @@
 class FlowIdentityTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FlowIdentityTest);
   CPPUNIT_TEST(AgentDeniesALaterFlowOfThePort);
+  CPPUNIT_TEST(DenialOfAnOpeningLeavesTheKeyCertain);
   CPPUNIT_TEST(RestartedAgentDeniesALaterFlowOfThePort);
   CPPUNIT_TEST(ReturnedPacketOfALaterFlowIsDenied);
   CPPUNIT_TEST(CacheDoesNotKnowALaterFlowOfThePort);
@@ -121,6 +122,25 @@
     }
   }
 
+  // Two servers have accepted the same opening, and the other one's packets
+  // reach this agent. That is no other flow of the port: once the client has
+  // chosen this server, its flow is found by its key, and the denial is not
+  // counted.
+  void DenialOfAnOpeningLeavesTheKeyCertain() {
+    AgentOfServer agent;
+    agent.FromClient(MakeOpening(kFirstClient));
+    agent.FromServer(MakeOpening(kFirstServer));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         CountNotices(agent.FromClient(MakePacket(
+                                          kFirstClient + 1, kNextServer)),
+                                      NoticeKind::kNotHeld));
+    CPPUNIT_ASSERT_EQUAL(0.0, agent.Metric("flow_packets_denied"));
+    agent.FromClient(FirstPacket());
+    CPPUNIT_ASSERT(LookupResult::kHeld == LookUp(agent));
+    agent.FromClient(NextPacket());
+    CPPUNIT_ASSERT_EQUAL(1.0, agent.Metric("flow_packets_denied"));
+  }
+
   // The agent knows the earlier flow only from packets of its server, and
   // leaves it to the server. It must not take the returned packet for one of a
   // flow that the server has lost, whose client is reset.
